Pass over a server that holds its part, by registered size, of its zone's limit

Even picks gave a one-core server as many calls as a two-core one, and chance piled calls on single servers. The small ones ran late, the zone's limit fell for it, and requests were refused while the large ones sat light. A server that holds its part of the limit now counts as not usable for that pick; among the others the pick stays even. Deeper tiers, which never refuse, so spill to other zones when their own zone is full; the last level there takes what no server has room for.

--- a/honeywharf/brain.py
+++ b/honeywharf/brain.py
@@ -69,6 +69,7 @@
     cold: bool = False
     next_ms: float = 0.0  # while it is cold: nothing is sent to it before
     share: float = 1.0  # of the even share that it is given; under 1 while it warms up
+    capacity: float = 1.0  # its share, times its registered size over the mean one
 
 
 @dataclass(slots=True, eq=False)
@@ -80,14 +81,20 @@
     first: float = 0.0
     learned_ms: float = 0.0
     lateness: float = 1.0  # the running mean of late answers
-    capacity: float = 0.0  # usable servers, each counted by its share
+    capacity: float = 0.0  # that of its usable servers
     ready: int = 0
     spare: int = 0  # usable servers, less two for each that is ejected
 
-    def has_room(self, part: float, odds: float) -> bool:
-        """Whether one more call fits into the part of the limit that is open to it; a fraction by chance."""
+    def has_room(self, part: float, odds: float, server: Server | None = None) -> bool:
+        """Whether one more call fits into the part of the limit that is open to it; a fraction by chance.
+
+        With a server: into its own part of that. Guards against calls that pile up on one server, or keep a
+        small one as busy as a large one, while its neighbours sit light: such a server is passed over.
+        """
+        calls = self.in_flight if server is None else len(server.calls)
+        capacity = self.capacity if server is None else server.capacity
         sliver: float = SLIVER * part ** (1.0 / WORTH_POWER)
-        return self.in_flight + odds < self.limit * self.capacity * part + sliver
+        return calls + odds < self.limit * capacity * part + sliver
 
     def learn(self, lateness: float, now: float) -> None:
         """Move the limit by one answer, which took `lateness` times what a zone at ease takes at most.
@@ -313,9 +320,11 @@
         for server in ready:
             self.zones[server.endpoint.zone].spare -= 2
             self.zones[server.endpoint.zone].ready += 1
+        mean_size = sum(s.endpoint.size for s in ready) / max(1, len(ready)) or 1.0
         for server in usable:
+            server.capacity = server.share * server.endpoint.size / mean_size
             # Guards against pushing over the first cold servers of a zone that has lost all others.
-            self.zones[server.endpoint.zone].capacity += server.share
+            self.zones[server.endpoint.zone].capacity += server.capacity
             self.zones[server.endpoint.zone].spare += 3
 
     def _warmth(self, endpoint: api.Endpoint) -> float:
@@ -358,12 +367,15 @@
         if request.may_have_run() is not None:  # a retry that may only go to some servers
             level = [s for s in level if request.may_send_to(s.endpoint, self.now)]
         tried = request.attempts[-1].server if request.attempts else None
-        gated = depth > 0 and self.settings.tier == 0
+        sheds = self.settings.tier == 0  # deeper down the last level takes what no server has room for
         for _ in range(PICKS if level else 0):
             server = level[int(self.random.random() * len(level))]
             if (server is tried and len(level) > 1) or (server.cold and self.now < server.next_ms):
                 continue
-            if gated and not self.zones[server.endpoint.zone].has_room(request.room, chance):
+            zone = self.zones[server.endpoint.zone]
+            if depth > 0 and sheds and not zone.has_room(request.room, chance):
+                continue
+            if (depth < 2 or sheds) and not zone.has_room(request.room, chance, server):
                 continue
             if depth < 2 and not self._answers(server, request):
                 continue
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -262,6 +262,36 @@
     assert zones["b"] == 1
 
 
+def hold(driver: Driver, calls: int) -> dict[str, int]:
+    """Calls that nobody answers; the number out at each server."""
+    held: dict[str, int] = {}
+    for _ in range(calls):
+        for action in driver.request():
+            if isinstance(action, api.Send):
+                held[action.endpoint] = held.get(action.endpoint, 0) + 1
+    return held
+
+
+def test_a_small_server_holds_its_part_by_size_and_is_then_passed_over() -> None:
+    """Guards against even calls that bury the small servers of a zone while the large ones sit light."""
+    driver = Driver()
+    driver.list([endpoint("a0", size=4.0), endpoint("a1", size=1.0), endpoint("a2", size=1.0)])
+    for zone in driver.balancer.zones.values():
+        zone.limit = 8.0
+    held = hold(driver, 24)
+    assert held["a0"] > 2 * held["a1"]
+    assert held["a0"] > 2 * held["a2"]
+
+
+def test_full_servers_deeper_down_spill_to_other_zones() -> None:
+    """Guards against a zone with few servers for its callers: it chokes while the other zones idle."""
+    driver = Driver(make_settings(tier=1, tiers=2))
+    driver.list([endpoint("a0"), *TWO_ZONES[4:]])
+    held = hold(driver, 16)
+    assert held["a0"] <= 4
+    assert sum(held.values()) == 16
+
+
 def test_late_answers_lower_what_is_taken_and_good_ones_raise_it_again() -> None:
     """Guards against jams: servers that answer late must be given less, at the first tier, and early."""
     driver = Driver()
