Be ready on the list held, not only after discovery's first answer

A restarted proxy answered /health/ready with 503 until discovery had spoken, up to a second of random wait and a call later, although its configuration held the list. A proxy that holds endpoints is now ready when it listens; one without any still waits. Log lines tell the first list, a silent discovery, the drain and the stop. Ruled out: the start of the process itself, 0.14 s.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -50,7 +50,11 @@
             loop, self.clock, conf.discovery, self.directory, self.driver.listed,
             polled=conf.settings.polled_discovery)
         self.driver.registry = self.watch
-        self.front = Front(loop, self.clock, self.driver, room - upstream, lambda: self.watch.up)
+        # A list held serves at once. Guards against a restarted proxy that knows its backends and stays out
+        # of service while discovery is slow: a rolling restart then leaves no proxy of the tier in service.
+        self.front = Front(
+            loop, self.clock, self.driver, room - upstream,
+            lambda: bool(self.directory.names) or self.watch.up)
         self.stopped = asyncio.Event()
         self.told: dict[str, int] = {}
         self.environ: Mapping[str, str] = os.environ
@@ -70,6 +74,7 @@
         gc.freeze()  # the collector need not look at what stays
         gc.set_threshold(20000, 20, 50)
         await self.stopped.wait()
+        log(f"stops: {self.driver.open} requests open")
 
     def reload(self) -> None:
         """Take over where discovery is now. All that is held, requests and records, goes on untouched."""
@@ -89,6 +94,7 @@
         """Leave service without losing a request: see DEPLOY and PROTOCOL on planned restarts."""
         if self.front.draining:
             return
+        log(f"drain: {self.driver.open} requests open on {len(self.front.connections)} connections")
         self.front.drain()
         longest = max(c.deadline_ms for c in self.conf.settings.classes)
         self.loop.call_later(ACCEPT_S, self._close_listener)
--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -219,6 +219,8 @@
         quick = self.clock.now() - self.called_ms < 1000.0 * QUIET_S
         first = not self.up
         self.calling = self.whole = self.moved = False
+        if not self.up:
+            log(f"discovery: first answer, {len(self.directory.names)} endpoints")
         self.up, self.failures = True, 0
         if not response.keep:
             self._close()
@@ -241,6 +243,7 @@
 
         Guards against a proxy that stays out of service for as long as discovery has nothing to tell.
         """
+        log(f"discovery: silent for {self.clock.now() - self.called_ms:.0f} ms")
         self.up = True
         self._failed()
 
