Keep a place in discovery's line for 5 s instead of calling anew after 1 s

Discovery takes calls in turn, a few a second. After a reload or a restart a whole list can take seconds; the proxy gave the call up after 1 s, backed off and went to the end of the line, and its abandoned call still took a turn. Lists then stayed as they were and draining servers got calls, which the limit read as a crowd. Calls that do not wait now stand for 5 s; waiting ones are given up 1.9 s after their wait, when what they have counts as told.

--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -17,7 +17,12 @@
 
 PATH = "/registry/instances"
 WAIT_MS = 5000  # of one watch call: short, since a cut connection says nothing until it is over
-SILENT_MS = 1000.0  # after that wait an answer is given up
+CONNECT_MS = 1000.0
+# An answer is given up so long after the wait, when what it has to tell counts as told at the latest.
+SILENT_MS = 1900.0
+# Calls that do not wait stand in line behind those of all proxies, which takes seconds after a reload. Guards
+# against giving up a place in that line for the last one, over and over: the list then stays as it was.
+IN_LINE_MS = 5000.0
 QUIET_S = 0.05  # before the next call where an answer came at once with nothing new; 0.2 s ends a watch
 RETRY_S = (0.02, 0.1)  # the first retry comes within a random time between these, the next within twice that
 RETRY_MOST_S = 1.0
@@ -176,14 +181,14 @@
         wait = 0 if whole or not self.up else WAIT_MS
         target = PATH if whole else f"{PATH}?after={self.directory.generation}&wait_ms={wait}"
         self.calling, self.called_ms, self.whole = True, self.clock.now(), whole
-        self._arm((wait + SILENT_MS) / 1000.0, self._silent)
+        self._arm((wait + SILENT_MS if wait else IN_LINE_MS) / 1000.0, self._silent)
         host = f"{self.where[0]}:{self.where[1]}"
         line.transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
 
     async def _connect(self) -> None:
         line, task = Line(self), asyncio.current_task()
         try:
-            async with asyncio.timeout(SILENT_MS / 1000.0):
+            async with asyncio.timeout(CONNECT_MS / 1000.0):
                 await self.loop.create_connection(lambda: line, *self.where)
         except (OSError, TimeoutError):
             line.close()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -180,6 +180,20 @@
     run(main())
 
 
+def test_a_call_that_stands_in_line_is_not_given_up_soon() -> None:
+    """Discovery takes calls in turn: whoever calls anew after a second goes back to the end of the line."""
+    async def main() -> None:
+        other = await Discovery().start()
+        async with world([row("b", 1)]) as w:
+            w.proxy.watch.move(("127.0.0.1", other.port))
+            await soon(other.called.wait())
+            timer = w.proxy.watch.timer
+            assert timer is not None
+            assert 3.0 < timer.when() - asyncio.get_running_loop().time() < 6.0
+        await other.stop()
+    run(main())
+
+
 def test_not_ready_without_a_list_where_discovery_cannot_be_reached() -> None:
     async def main() -> None:
         discovery = await Discovery().start()
