--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -26,9 +26,7 @@
 # listener and discovery, and room to accept while others are closing.
 OWN_SHARE, OWN_LEAST = 1 / 10, 20
 UPSTREAM_SHARE = 2 / 5
-# After SIGTERM the front sends new connections for up to 0.4 s, and a busy machine runs late; connections
-# that are open stay in use so long. No longer: SIGKILL leaves 0.7 s beyond the longest deadline.
-ACCEPT_S = 0.6
+ACCEPT_S = 0.6  # after SIGTERM: the front sends new connections for up to 0.4 s, and a busy machine runs late
 LAST_CALL_S = 0.5  # then, for connections that came and have not sent their request
 KILL_AFTER_MS = 3000.0  # SIGKILL comes 0.7 s after this, or the longest deadline if less, at the soonest
 BEFORE_KILL_S = 0.45  # so long after that time, what is still open is answered
--- a/honeywharf/net/downstream.py
+++ b/honeywharf/net/downstream.py
@@ -110,7 +110,7 @@
         request, self.current = self.current, None
         if request is None or self.ended:
             return
-        keep = request.keep and not self.front.closing
+        keep = request.keep and not self.front.draining
         self.transport.write(http1.answer(status, body, keep=keep, retry_after_ms=retry_after_ms, kind=kind))
         if not keep:
             self._linger()
@@ -190,8 +190,7 @@
         self.partial: dict[Connection, None] = {}
         self.idle: dict[Connection, None] = {}
         self.server: asyncio.Server | None = None
-        self.draining = False  # out of service: no longer ready
-        self.closing = False  # every answer closes its connection
+        self.draining = False
         self.on_empty: Callable[[], None] | None = None
 
     async def listen(self, where: Address) -> Address:
@@ -262,11 +261,10 @@
         return self.server is not None and not self.draining and self.watch_is_up()
 
     def drain(self) -> None:
-        """Go out of service: not ready from now on, while clients are served until they have gone elsewhere.
-
-        Guards against clients whose connection closes when the front has nowhere else to send them yet.
-        """
+        """Go out of service: every answer from now on closes its connection, and idle ones close at once."""
         self.draining = True
+        for connection in list(self.idle):
+            connection.close()
 
     def close_idle(self) -> None:
         """Close all connections that hold no request, those too on which none has come at all."""
@@ -274,12 +272,9 @@
             connection.close()
 
     def stop_listening(self) -> None:
-        """Take no new connection: every answer from now on closes its own, and idle ones close at once."""
-        self.closing = True
+        """Take no new connection."""
         if self.server is not None:
             self.server.close()
-        for connection in list(self.idle):
-            connection.close()
 
     def _sweep(self) -> None:
         """Guards against callers that keep a descriptor and ask nothing, or never come to an end."""
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -291,12 +291,13 @@
             busy.send()
             await soon(backend.came.wait())
             w.proxy.drain()
-            assert await idle.ask(b"GET /health/ready HTTP/1.1\r\n\r\n") == 503
+            assert await idle.closed()
             late = await Client.to(w.port)  # the front still sends connections for a moment
             assert await late.ask(b"GET /health/ready HTTP/1.1\r\n\r\n") == 503
-            late.send()  # and clients use those that they have
+            assert await late.closed()
+            late = await Client.to(w.port)
+            late.send()
             await until(lambda: len(backend.requests) == 2)
-            assert await idle.closed()  # once nobody comes any more
             for writer in list(backend.writers):
                 writer.write(reply(200, b"done"))
             for client in (busy, late):
