Start a limit at two calls a server and tier, one in work and one that waits

The limit began, and was refilled fast only up to, one call a mean server and tier. A first-tier server holds a call while the next tier works, so that much idles its cores; deeper down a zone counted as full after one call a server and spilled at ease.

--- a/honeywharf/brain.py
+++ b/honeywharf/brain.py
@@ -34,7 +34,9 @@
 UNREACHED = frozenset({api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT, api.Outcome.CANCELLED})
 COME_BACK_MS = (200.0, 600.0)  # in which a refused client may come back: a jam's answers take about that long
 TARGET = 0.5  # of its aim that an answer may take before a zone counts as crowded; the rest is for chance
-FIRST_CALLS = 1.0  # calls that a server of which nothing is known may hold, for itself and each tier below
+# Calls that a server of which nothing is known may hold, for itself and each tier below: one in work and one
+# that waits for it. With one alone a core idles whenever its call waits for the network or the next tier.
+FIRST_CALLS = 2.0
 LEAST_PART = 0.25  # of its first value that a limit keeps: so few calls let any jam drain
 SLOW_START = 4.0  # how much faster a limit under its first value grows: that much is known to be safe
 SLIVER = 1.0  # call over the limit, by worth: a limit of about one turns a third away by chance alone
