Eject a server that alone fails though another one is already out

An ejection needed two thirds of the zone, or of a small fleet, to stay usable. With one of four servers out for slow answers, the one that failed 107 of 191 calls in 5 s could not be taken out; it failed fast, so it always had room and drew the calls and their retries. A server whose failing share stands far above that of all the others is now ejected as long as half the fleet stays usable. Where all fail alike none stands out, as before.

--- a/honeywharf/brain.py
+++ b/honeywharf/brain.py
@@ -20,6 +20,8 @@
 SLOW_FROM = 1.7  # times the typical answer time: what is beyond adds to the suspicion, less takes from it
 STRAIN_MOST = 3.0  # what one call can add, a failed one included: no server is judged by a single call
 SUSPECT_AT = 6.0  # suspicion that ejects: by chance alone about once in some hundred calls
+FAILING_OVER = 6  # calls over which the part that fails is formed
+OUTLIER_FROM = 0.25  # of its calls, over twice what is usual: a server that fails so many stands out
 PAUSE_MS = 2500.0  # first ejection: long enough for a crowded server to empty; doubled up to 4 times that
 PACE_OVER = 6  # answers over which a server's own pace, in typical answer times, is formed
 EVEN_PACE = 1.2  # up to here a server keeps its even share; a slower one gets less, in the square of its pace
@@ -65,6 +67,7 @@
     failures: int = 0  # in a row
     ejections: int = 0
     suspicion: float = 0.0
+    failing: float | None = None  # the part of its recent calls that failed; None before the first has ended
     pace: float = 1.0
     pauses: int = 0  # ejections in a row without a success
     usable_at: float = 0.0  # ejected until then
@@ -592,6 +595,9 @@
             if server.usable_at <= self.now and self._can_spare(server):
                 self._eject(server, FULL_MS)
             return
+        failed = 0.0 if event.outcome is api.Outcome.OK else 1.0
+        server.failing = failed if server.failing is None else (
+            server.failing + (failed - server.failing) / FAILING_OVER)
         broken = event.outcome is api.Outcome.CONNECT_FAILED
         self._suspect(server, strain, spare=not broken)
 
@@ -600,7 +606,8 @@
         server.suspicion = max(0.0, server.suspicion + strain)
         suspect = server.failures >= DEAD_AFTER or server.suspicion >= SUSPECT_AT
         # Guards against emptying a zone for what a tier behind all its servers gets wrong.
-        if server.usable_at <= self.now and suspect and (not spare or self._can_spare(server)):
+        if server.usable_at <= self.now and suspect and (
+                not spare or self._can_spare(server) or self._stands_out(server)):
             self._eject(server, PAUSE_MS)
 
     def _hurried(self, request: Request, event: api.AttemptEnded) -> bool:
@@ -621,6 +628,17 @@
         heard = self.heard[name] = min(TYPICAL_OVER, self.heard.get(name, 0) + 1)
         self.typical_ms[name] = typical + (elapsed_ms - typical) / heard
 
+    def _stands_out(self, server: Server) -> bool:
+        """Whether it fails far more than the other servers do, and half of all stay usable without it.
+
+        Guards against a failing server that stays in as another one is out: it fails fast, so it always has
+        room, and draws the calls. What fails alike everywhere stands out nowhere.
+        """
+        others = [s.failing for s in self.servers.values() if s is not server and s.failing is not None]
+        usual = sum(others) / len(others) if others else 1.0
+        ready, usable = sum(z.ready for z in self.zones.values()), len(self.levels[1])
+        return (server.failing or 0.0) > OUTLIER_FROM + 2.0 * usual and 2 * (usable - 1) >= ready
+
     def _can_spare(self, server: Server) -> bool:
         """Whether two thirds of its zone stay usable: if more is slow, the trouble is not the server's.
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -130,6 +130,20 @@
     assert set(driver.fill(200)) == {"a0", "a1"}
 
 
+def test_a_server_that_alone_fails_is_ejected_though_another_is_out() -> None:
+    """Guards against a failing server that stays in: it fails fast, has room, and draws the calls."""
+    driver = Driver()
+    driver.list([endpoint(f"a{i}") for i in range(2)] + [endpoint(f"b{i}", "b") for i in range(2)])
+    driver.fill(200)
+    servers = driver.balancer.servers
+    driver.balancer._eject(servers["b0"], 60000.0)
+    for _ in range(60):
+        bad = only_send(driver.request()).endpoint == "a0"
+        driver.end(api.Outcome.ERROR if bad else api.Outcome.OK, after_ms=1.0, request_over=True)
+    assert servers["a0"].ejections == 1
+    assert servers["a1"].ejections == 0
+
+
 def test_a_rejection_costs_little_of_the_retry_budget() -> None:
     """Turned away unseen is little load, and giving up wastes what the tiers above have done."""
     driver = Driver(make_settings(limits=api.Limits(max_attempts=3)))
