Start no attempt in a request's last millisecond, which no timer would end

The loop's timers may come up to 1 ms early. When a request's own timer came then and ended its attempt as timed out, the module, whose deadline lies a loop turn later, could send once more: an attempt with no timer of its own, for a request that is answered in the same turn. Against a silent machine it stayed in the table for ever.

The test starts two attempts without the change.

--- a/honeywharf/net/proxy.py
+++ b/honeywharf/net/proxy.py
@@ -19,6 +19,9 @@
 # The final answer has to be on its way before the client gives up: its time ran from its sending, so part of
 # it was gone when the request was read, and the timer may run late.
 ANSWER_MARGIN_MS = 10.0
+# The loop's timers may come so early. An attempt with less time left gets no answer, and the request's timer,
+# which would end it, may have come already.
+EARLY_MS = 1.0
 FAILED = 502
 REFUSED = 503
 
@@ -276,7 +279,7 @@
     def _overdue(self, held: Held) -> None:
         """The client's time is up: what is out has timed out, and the answer is due now."""
         early = held.deadline_ms - self.clock.now()
-        if early > 1.0:  # the loop's timers may come a little early
+        if early > EARLY_MS:
             held.timer = self.loop.call_later(early / 1000.0, self._overdue, held)
             return
         for attempt in held.attempts:
@@ -379,7 +382,7 @@
         until = held.deadline_ms
         if action.timeout_ms:
             until = min(until, now + action.timeout_ms)
-        if (held.over or len(held.attempts) >= self.settings.limits.max_attempts or until <= now
+        if (held.over or len(held.attempts) >= self.settings.limits.max_attempts or until <= now + EARLY_MS
                 or not self.transport.known(action.endpoint)):
             # Guards the rules on answers, effects and drains, whatever the module asks for.
             self._feed(api.AttemptEnded(
@@ -391,7 +394,7 @@
         attempt = Attempt(self, held, action.endpoint, now, until)
         held.attempts.append(attempt)
         held.live += 1
-        if until < held.deadline_ms - 1.0:  # else the request's own timer ends it
+        if until < held.deadline_ms - EARLY_MS:  # else the request's own timer ends it
             attempt.timer = self.loop.call_later((until - now) / 1000.0, self._time_out, attempt)
         self.transport.start(attempt)
 
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -238,6 +238,23 @@
     assert bench.driver.requests == {}
 
 
+def test_no_attempt_starts_once_the_requests_timer_has_come(bench: Bench) -> None:
+    """Guards against an attempt that nothing ends: it would run for nobody and never leave the table."""
+    def on(event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.AttemptEnded) and event.outcome is O.TIMEOUT:
+            return [api.Send(event.request, "b2", 0.0)]
+        return send_each(event)
+    bench.script.on = on
+    _, caller = bench.arrive(1000.0)
+    held = bench.driver.requests["r1"]
+    bench.clock.ms = held.deadline_ms - 0.5  # the timer comes a little early
+    bench.driver._overdue(held)
+    bench.loop.turn()
+    assert [call.endpoint for call in bench.transport.started] == ["b1"]
+    assert caller.answers == [(502, b"", 0.0)]
+    assert bench.driver.requests == {}
+
+
 def test_the_time_that_passed_since_the_request_was_read_counts(bench: Bench) -> None:
     request, caller = http1.Request(), FakeCaller()
     request.id, request.class_name, request.left_ms = "r9", "order", 1000.0
