Keep a class away from a server that fails that class alone

A server that failed only the class that may not be sent again was ejected slowly, since it served the other class, and was back after a pause at once: trial calls are of the class that may be repeated, and that one it served. Two errors of a class in a row, at a server that stands out against the others, now make it absent for that class for 10 s, as calls without any answer already did; after that one more error is enough.

--- a/honeywharf/brain.py
+++ b/honeywharf/brain.py
@@ -25,7 +25,8 @@
 PAUSE_MS = 2500.0  # first ejection: long enough for a crowded server to empty; doubled up to 4 times that
 PACE_OVER = 6  # answers over which a server's own pace, in typical answer times, is formed
 EVEN_PACE = 1.2  # up to here a server keeps its even share; a slower one gets less, in the square of its pace
-SILENT_MS = 10000.0  # without calls of a class that ran out of time there: each trial may cost a request
+SILENT_MS = 10000.0  # without calls of a class that got no answer there: each trial may cost a request
+CLASS_ERRORS = 2  # errors in a row of one class: one alone may be chance, or a tier behind
 FULL_MS = 1000.0  # pause after a refusal: a server that is full needs that long to work its queue down
 HUNG_AFTER = 3.0  # typical answer times: about one answer in some hundred comes that late by chance
 TYPICAL_OVER = 30  # answers over which the typical answer time is formed
@@ -64,6 +65,7 @@
     endpoint: api.Endpoint
     calls: dict[Attempt, None] = field(default_factory=dict)  # out, the oldest first; not those that hang
     silent: dict[str, float] = field(default_factory=dict)  # by class: until when it counts as absent
+    errors: dict[str, int] = field(default_factory=dict)  # by class, in a row
     failures: int = 0  # in a row
     ejections: int = 0
     suspicion: float = 0.0
@@ -573,6 +575,10 @@
         if event.outcome in (api.Outcome.CANCELLED, api.Outcome.NOT_SENT) or self._hurried(request, event):
             return
         strain = STRAIN_MOST
+        if event.outcome is not api.Outcome.REJECTED:
+            failed = 0.0 if event.outcome is api.Outcome.OK else 1.0
+            known = failed if server.failing is None else server.failing
+            server.failing = known + (failed - known) / FAILING_OVER
         if event.outcome is api.Outcome.OK:
             typical = self.typical_ms.get(request.cls.name, event.elapsed_ms)
             pace = min(event.elapsed_ms / max(typical, 1.0), STRAIN_MOST + SLOW_FROM)
@@ -581,12 +587,18 @@
             self._time(request.cls.name, typical, event.elapsed_ms)
             server.failures = 0
             server.silent.pop(request.cls.name, None)
+            server.errors.pop(request.cls.name, None)
             self.served += 1
             if strain < 0:
                 server.pauses = 0
         else:
-            if event.outcome is api.Outcome.TIMEOUT and server.failures > 0:
-                # Guards against a server that takes calls, of all classes or of one, and answers none.
+            errors = 0
+            if event.outcome is api.Outcome.ERROR:
+                errors = server.errors[request.cls.name] = server.errors.get(request.cls.name, 0) + 1
+            if (event.outcome is api.Outcome.TIMEOUT and server.failures > 0) or (errors >= CLASS_ERRORS and (
+                    request.cls.name in server.silent or self._stands_out(server))):
+                # Guards against a server that takes calls, of all classes or of one, and answers none, or
+                # with errors: trial calls of a class that it serves would bring it back for all.
                 # One call alone may be a connection that fell silent.
                 server.silent[request.cls.name] = self.now + SILENT_MS * self.random.uniform(0.75, 1.25)
             server.failures += 2 if event.outcome is api.Outcome.CONNECT_FAILED else 1
@@ -595,9 +607,6 @@
             if server.usable_at <= self.now and self._can_spare(server):
                 self._eject(server, FULL_MS)
             return
-        failed = 0.0 if event.outcome is api.Outcome.OK else 1.0
-        server.failing = failed if server.failing is None else (
-            server.failing + (failed - server.failing) / FAILING_OVER)
         broken = event.outcome is api.Outcome.CONNECT_FAILED
         self._suspect(server, strain, spare=not broken)
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -228,6 +228,21 @@
     assert silent in again
 
 
+def test_a_server_that_fails_one_class_gets_none_of_it_and_serves_the_others() -> None:
+    """Guards against trial calls of a sound class that bring a server back for the class that it fails."""
+    driver = Driver()
+    driver.list([endpoint(f"a{i}") for i in range(4)])
+    sent = {"read": 0, "write": 0}
+    for i in range(1200):
+        class_name = ("read", "write")[i % 2]
+        bad = only_send(driver.request(class_name)).endpoint == "a0"
+        sent[class_name] += bad
+        fails = bad and class_name == "write"
+        driver.end(api.Outcome.ERROR if fails else api.Outcome.OK, after_ms=10.0, request_over=True)
+    assert sent["write"] <= 8
+    assert sent["read"] > 30
+
+
 def test_all_silent_servers_still_serve() -> None:
     """Guards against emptying every level when a class runs out of time everywhere at once."""
     driver = Driver()
