Open a silent watch anew 0.5 s after its wait, without the module's pause

What a silent watch misses counts as told at T + 7 s, the grace is 0.3 s. Suspected and measured: (1) the call given up too late, (2) a pause before the next, (3) discovery's line. Renewals were answered at 5000 ms to the millisecond, so 1.9 s of patience guards nothing. At fault: SILENT_MS in discovery.py, and Watch._silent, which told the module of a failed call; its Balancer._listed then pauses up to a fifth of ask_every_ms, 2 s here, which is meant for a call that failed (four times the period until that is told), not for a watch that fell silent.

The new call does not wait, so that it has an answer whatever there is to tell. Test over real connections: a drain that a silent watch missed gets no request, asked or pushed; fails without the change in both modes.

--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -18,8 +18,9 @@
 PATH = "/registry/instances"
 WAIT_MS = 5000  # of one watch call: short, since a cut connection says nothing until it is over
 CONNECT_MS = 1000.0
-# An answer is given up so long after the wait, when what it has to tell counts as told at the latest.
-SILENT_MS = 1900.0
+# A watch that says nothing so long after its wait has fallen silent: discovery answers within milliseconds.
+# What it missed counts as told 2 s after the wait: the rest is for asking anew, in discovery's line.
+SILENT_MS = 500.0
 # Calls that do not wait stand in line behind those of all proxies, which takes seconds after a reload. Guards
 # against giving up a place in that line for the last one, over and over: the list then stays as it was.
 IN_LINE_MS = 5000.0
@@ -137,6 +138,8 @@
         self.wanted = self.whole = False
         self.moved = False  # until the new address has given a whole list: versions don't compare
         self.up = False  # the first call has been answered, or is out with one that says nothing
+        self.waits = False  # the call that is out may wait
+        self.broken_ms = 0.0  # since when a watch that fell silent has not been opened anew, if it has not
         self.failures = 0
         self.random = random.Random()
         self.line: Line | None = None
@@ -178,9 +181,9 @@
             self.connecting = self.loop.create_task(self._connect())
             return
         whole = self.whole or self.moved
-        wait = 0 if whole or not self.up else WAIT_MS
+        wait = 0 if whole or not self.up or self.broken_ms else WAIT_MS
         target = PATH if whole else f"{PATH}?after={self.directory.generation}&wait_ms={wait}"
-        self.calling, self.called_ms, self.whole = True, self.clock.now(), whole
+        self.calling, self.called_ms, self.whole, self.waits = True, self.clock.now(), whole, wait > 0
         self._arm((wait + SILENT_MS if wait else IN_LINE_MS) / 1000.0, self._silent)
         host = f"{self.where[0]}:{self.where[1]}"
         line.transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
@@ -226,7 +229,9 @@
         self.calling = self.whole = self.moved = False
         if not self.up:
             log(f"discovery: first answer, {len(self.directory.names)} endpoints")
-        self.up, self.failures = True, 0
+        if self.broken_ms:
+            log(f"discovery: a list again after {self.clock.now() - self.broken_ms:.0f} ms without")
+        self.up, self.failures, self.broken_ms = True, 0, 0.0
         if not response.keep:
             self._close()
         if event.endpoints or event.kind is not api.ListKind.CHANGES or self.polled:
@@ -246,11 +251,18 @@
     def _silent(self) -> None:
         """Nothing came in time. The call got there, so the watch is up, on the list held last.
 
-        Guards against a proxy that stays out of service for as long as discovery has nothing to tell.
+        Guards against a proxy that stays out of service for as long as discovery has nothing to tell, and
+        against sending on a list that misses what counts as told: a watch that fell silent is opened anew at
+        once, with a call that does not wait, and without the module's pause after a call that failed.
         """
         log(f"discovery: silent for {self.clock.now() - self.called_ms:.0f} ms")
         self.up = True
-        self._failed()
+        if not self.waits:
+            self._failed()
+            return
+        self.calling, self.broken_ms = False, self.clock.now()
+        self._close()
+        self._next()
 
     def _failed(self) -> None:
         """Call again soon, not in step with others; where the module asks for watches, it is told instead."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -233,6 +233,45 @@
     run(main())
 
 
+@pytest.mark.parametrize("mode", ["ask", "push"])
+def test_a_watch_that_fell_silent_is_opened_anew_before_what_it_missed_counts_as_told(
+    mode: str, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It misses a drain, which counts as told 2 s after the wait: no pause of the module's fits in there."""
+    async def main() -> None:
+        leaves, stays = await Backend().start(), await Backend().start()
+        discovery = await Discovery().start()
+        rows = [leaves.row("leaves"), stays.row("stays")]
+        pauses = {"askEveryMs": 1e6}  # the module's pause after a failed call is up to a fifth of that
+        w = World(make_config(discovery.port, rows, discovery=mode, contract=pauses), discovery)
+        await w.start()
+        w.proxy.watch.watch()
+        discovery.tell(1)
+        await until(lambda: len(discovery.calls) == 2)
+        timer, now = w.proxy.watch.timer, asyncio.get_running_loop().time()
+        assert timer is not None
+        assert 5.0 < timer.when() - now < 6.0  # half of the 2 s are left for discovery's line
+        w.proxy.watch._silent()
+        await until(lambda: len(discovery.calls) == 3)
+        assert discovery.calls[2].startswith(b"GET /registry/instances?after=1&wait_ms=0 ")
+        assert api.ListKind.FAILED not in [e.kind for e in lists(w)]
+        discovery.answers.put_nowait(reply())  # goes to the watch that fell silent, and nobody reads it
+        discovery.tell(2, leaves.row("leaves", lifecycle="draining"))
+        await until(lambda: len(discovery.calls) == 4)
+        assert b"?after=2&wait_ms=5000 " in discovery.calls[3]
+        client = await Client.to(w.port)
+        for _ in range(12):
+            client.send()
+            assert await client.status() == 200
+        assert (len(leaves.requests), len(stays.requests)) == (0, 12)
+        assert w.running is not None
+        w.running.cancel()
+        for backend in (leaves, stays):
+            await backend.stop()
+        await discovery.stop()
+    run(main())
+
+
 async def moved(w: World, discovery: Discovery) -> None:
     """Wait until the watch stands at that discovery: the whole list asked for first, then changes."""
     await until(lambda: len(discovery.calls) >= 2)
