Make a silent call in discovery's line anew at once, and wait only on a watch held

What they miss counts as told 6 s after the silence, so about 1 s was left for pause and line. Ruled out: the line alone (about 70 answers a second; 851 ms at most). At fault: IN_LINE_MS, and the branch of Watch._silent for calls that do not wait.

--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -22,8 +22,11 @@
 # What it missed counts as told 2 s after the wait: the rest is for asking anew, in discovery's line.
 SILENT_MS = 500.0
 # Calls that do not wait stand in line behind those of all proxies, which takes seconds after a reload. Guards
-# against giving up a place in that line for the last one, over and over: the list then stays as it was.
-IN_LINE_MS = 5000.0
+# against giving up a place in that line for the last one, over and over: the list then stays as it was. But
+# what a call misses that fell silent counts as told after 6 s: the rest has to do for the line once more. A
+# whole list takes discovery longer, for itself and for those before it in line.
+IN_LINE_MS = 3500.0
+WHOLE_MS = 5000.0
 QUIET_S = 0.05  # before the next call where an answer came at once with nothing new; 0.2 s ends a watch
 RETRY_S = (0.02, 0.1)  # the first retry comes within a random time between these, the next within twice that
 RETRY_MOST_S = 1.0
@@ -138,7 +141,9 @@
         self.wanted = self.whole = False
         self.moved = False  # until the new address has given a whole list: versions don't compare
         self.up = False  # the first call has been answered, or is out with one that says nothing
-        self.waits = False  # the call that is out may wait
+        # The last call was answered. Else the next one does not wait: it may stand in line before its wait
+        # begins, and nobody could tell for how long it may say nothing.
+        self.answered = False
         self.broken_ms = 0.0  # since when a watch that fell silent has not been opened anew, if it has not
         self.failures = 0
         self.random = random.Random()
@@ -181,10 +186,11 @@
             self.connecting = self.loop.create_task(self._connect())
             return
         whole = self.whole or self.moved
-        wait = 0 if whole or not self.up or self.broken_ms else WAIT_MS
+        wait = WAIT_MS if self.answered and not whole else 0
         target = PATH if whole else f"{PATH}?after={self.directory.generation}&wait_ms={wait}"
-        self.calling, self.called_ms, self.whole, self.waits = True, self.clock.now(), whole, wait > 0
-        self._arm((wait + SILENT_MS if wait else IN_LINE_MS) / 1000.0, self._silent)
+        self.calling, self.called_ms, self.whole = True, self.clock.now(), whole
+        patience = wait + SILENT_MS if wait else WHOLE_MS if whole else IN_LINE_MS
+        self._arm(patience / 1000.0, self._silent)
         host = f"{self.where[0]}:{self.where[1]}"
         line.transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
 
@@ -231,7 +237,8 @@
             log(f"discovery: first answer, {len(self.directory.names)} endpoints")
         if self.broken_ms:
             log(f"discovery: a list again after {self.clock.now() - self.broken_ms:.0f} ms without")
-        self.up, self.failures, self.broken_ms = True, 0, 0.0
+        self.up = self.answered = True
+        self.failures, self.broken_ms = 0, 0.0
         if not response.keep:
             self._close()
         if event.endpoints or event.kind is not api.ListKind.CHANGES or self.polled:
@@ -252,24 +259,22 @@
         """Nothing came in time. The call got there, so the watch is up, on the list held last.
 
         Guards against a proxy that stays out of service for as long as discovery has nothing to tell, and
-        against sending on a list that misses what counts as told: a watch that fell silent is opened anew at
-        once, with a call that does not wait, and without the module's pause after a call that failed.
+        against sending on a list that misses what counts as told: discovery is asked anew at once, by a call
+        that does not wait, and without the pause, the module's too, that follows on a call that failed.
         """
         log(f"discovery: silent for {self.clock.now() - self.called_ms:.0f} ms")
         self.up = True
-        if not self.waits:
-            self._failed()
-            return
-        self.calling, self.broken_ms = False, self.clock.now()
+        self.calling = self.answered = False
+        self.broken_ms = self.broken_ms or self.clock.now()
         self._close()
         self._next()
 
     def _failed(self) -> None:
         """Call again soon, not in step with others; where the module asks for watches, it is told instead."""
-        self.calling = self.whole = False
+        self.calling = self.answered = False
         self._close()
-        if self.polled:
-            self.wanted = False
+        if self.polled and not self.broken_ms:
+            self.wanted = self.whole = False
             self.tell(api.EndpointsListed(api.ListKind.FAILED))
             return
         least, most = (min(RETRY_MOST_S, x * 2 ** min(self.failures, 6)) for x in RETRY_S)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -234,10 +234,14 @@
 
 
 @pytest.mark.parametrize("mode", ["ask", "push"])
-def test_a_watch_that_fell_silent_is_opened_anew_before_what_it_missed_counts_as_told(
-    mode: str, monkeypatch: pytest.MonkeyPatch,
+@pytest.mark.parametrize("waits", [True, False], ids=["a watch", "a call in line"])
+def test_a_call_that_fell_silent_is_made_anew_before_what_it_missed_counts_as_told(
+    mode: str, waits: bool,
 ) -> None:
-    """It misses a drain, which counts as told 2 s after the wait: no pause of the module's fits in there."""
+    """It misses a drain, which counts as told 2 s after the wait, or 6 s after it fell silent.
+
+    No pause of the module's fits in there, and half of the time is left for discovery's line.
+    """
     async def main() -> None:
         leaves, stays = await Backend().start(), await Backend().start()
         discovery = await Discovery().start()
@@ -246,19 +250,21 @@
         w = World(make_config(discovery.port, rows, discovery=mode, contract=pauses), discovery)
         await w.start()
         w.proxy.watch.watch()
-        discovery.tell(1)
-        await until(lambda: len(discovery.calls) == 2)
+        if waits:
+            discovery.tell(1)
+        out = 2 if waits else 1
+        await until(lambda: len(discovery.calls) == out)
         timer, now = w.proxy.watch.timer, asyncio.get_running_loop().time()
         assert timer is not None
-        assert 5.0 < timer.when() - now < 6.0  # half of the 2 s are left for discovery's line
+        assert timer.when() - now < (6.0 if waits else 4.0)
         w.proxy.watch._silent()
-        await until(lambda: len(discovery.calls) == 3)
-        assert discovery.calls[2].startswith(b"GET /registry/instances?after=1&wait_ms=0 ")
+        await until(lambda: len(discovery.calls) == out + 1)
+        assert discovery.calls[out].startswith(b"GET /registry/instances?after=1&wait_ms=0 ")
         assert api.ListKind.FAILED not in [e.kind for e in lists(w)]
-        discovery.answers.put_nowait(reply())  # goes to the watch that fell silent, and nobody reads it
+        discovery.answers.put_nowait(reply())  # goes to the call that fell silent, and nobody reads it
         discovery.tell(2, leaves.row("leaves", lifecycle="draining"))
-        await until(lambda: len(discovery.calls) == 4)
-        assert b"?after=2&wait_ms=5000 " in discovery.calls[3]
+        await until(lambda: len(discovery.calls) == out + 2)
+        assert b"?after=2&wait_ms=5000 " in discovery.calls[out + 1]
         client = await Client.to(w.port)
         for _ in range(12):
             client.send()
@@ -272,6 +278,29 @@
     run(main())
 
 
+@pytest.mark.parametrize("mode", ["ask", "push"])
+def test_a_call_after_a_failure_does_not_wait(mode: str) -> None:
+    """It stands in line before a wait would begin: judged by its wait, it would be given up in line."""
+    async def main() -> None:
+        discovery = await Discovery().start()
+        w = World(make_config(discovery.port, [row("b", 1)], discovery=mode), discovery)
+        await w.start()
+        w.proxy.watch.watch()
+        discovery.tell(1)
+        await until(lambda: len(discovery.calls) == 2)
+        assert b"&wait_ms=5000 " in discovery.calls[1]
+        discovery.answers.put_nowait(reply(503))
+        if mode == "ask":
+            await until(lambda: lists(w)[-1].kind is api.ListKind.FAILED)
+            w.proxy.watch.watch()  # the module's next word
+        await until(lambda: len(discovery.calls) == 3)
+        assert b"&wait_ms=0 " in discovery.calls[2]
+        assert w.running is not None
+        w.running.cancel()
+        await discovery.stop()
+    run(main())
+
+
 async def moved(w: World, discovery: Discovery) -> None:
     """Wait until the watch stands at that discovery: the whole list asked for first, then changes."""
     await until(lambda: len(discovery.calls) >= 2)
