Send nothing to a backend that drained or left while a connection came up

Ruled out: pooled connections (name and forget close them in the turn in which the list comes) and Driver._send (asks known() in the turn of the decision). At fault: the branch of Pool._open that carries.

--- a/honeywharf/net/upstream.py
+++ b/honeywharf/net/upstream.py
@@ -275,6 +275,11 @@
             connection.call = None
             connection.drop()
 
+    def unsent(self, call: Call) -> bool:
+        """Whether some of the call has not left yet: given up now, it never runs."""
+        connection = call.connection
+        return call.opening or (isinstance(connection, Connection) and connection.unsent)
+
     def _not_connected(self, call: Call, outcome: api.Outcome = O.CONNECT_FAILED) -> None:
         call.opening = False
         call.ended(outcome, None)
@@ -295,11 +300,15 @@
             connection.drop()
             if call.opening:
                 self._not_connected(call)
-        elif call.opening:
+        elif call.opening and backend.open_for_work:
             call.opening = False
             connection.carry(call)
-        else:  # given up in the meantime
+        else:
+            # Given up in the meantime, or the backend began to drain, left, moved or started anew: what was
+            # decided before must not reach it now, as a connection may take longer than the grace.
             self.rest(connection)
+            if call.opening:
+                self._not_connected(call, O.NOT_SENT)
 
     def rest(self, connection: Connection) -> None:
         """Keep the connection for the next call, unless its backend has moved on."""
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -116,6 +116,31 @@
         self.outcome.set()
 
 
+@pytest.mark.parametrize("change", ["drains", "leaves", "starts anew", "moves"])
+def test_a_backend_that_changes_while_a_connection_comes_up_gets_nothing(change: str) -> None:
+    """The change falls between the decision and the connection, every time: both come in one turn."""
+    async def main() -> None:
+        backend, other = await Backend().start(), await Backend().start()
+        where = ("127.0.0.1", backend.port)
+        pool = Pool(asyncio.get_running_loop(), Clock(), api.Limits(connect_timeout_ms=2000.0), 10)
+        pool.name("b", where, 1.0, open_for_work=True)
+        call = Ending(b"x")
+        pool.start(call)
+        if change == "leaves":
+            pool.forget("b")
+        else:
+            pool.name(
+                "b", ("127.0.0.1", other.port) if change == "moves" else where,
+                2.0 if change == "starts anew" else 1.0, open_for_work=change != "drains")
+        await soon(call.outcome.wait())
+        assert call.outcomes == [O.NOT_SENT]
+        await until(lambda: backend.closed == 1)
+        assert (pool.count, backend.requests, other.requests) == (0, [], [])
+        await backend.stop()
+        await other.stop()
+    run(main())
+
+
 def test_a_break_before_the_last_byte_left_has_run_nothing() -> None:
     """The body is larger than what the sockets' buffers take, and the backend never reads it."""
     async def main() -> None:
