Withdraw attempts that have not left when their request is over

Ruled out: requests sent ahead on a connection (its loss clears them before the next is served), requests held for their turn (RequestExpired takes them out of line), retries (_send refuses what is over). At fault: Driver._over and gone, which looked at the answer only. _over, the one place that ends a request, now withdraws what the transport says has not left whole; the connection that comes up is kept for the next call. Tests: a connection that comes up after the client has left carries nothing (real sockets, held back by a gate), and the three ways to end a request on the driver; all four fail without the change.

--- a/honeywharf/net/proxy.py
+++ b/honeywharf/net/proxy.py
@@ -102,6 +102,9 @@
     def abort(self, call: Call) -> None:
         """Give the call up: its connection closes, and no end is told."""
 
+    def unsent(self, call: Call) -> bool:
+        """Whether some of the call has not left yet: given up now, it never runs."""
+
     def close_idle(self, endpoint: str) -> None:
         """Close the idle connections to an endpoint."""
 
@@ -233,7 +236,7 @@
         return True
 
     def gone(self, request: http1.Request) -> None:
-        """The client has left. Attempts that are out go on, as they do at the backend."""
+        """The client has left. Attempts that have left go on, as they do at the backend."""
         held = self.requests.get(request.id)
         if held is not None and held.request is request and not held.over:
             self._over(held, "gone")
@@ -430,10 +433,17 @@
     # The table.
 
     def _over(self, held: Held, how: str) -> None:
-        """Nothing is owed any more; the one place that says so, so that there is one final answer."""
+        """Nothing is owed any more; the one place that says so, so that there is one final answer.
+
+        Guards against attempts that leave for a request which has ended: their connection was coming up.
+        """
         held.over = True
         self.open -= 1
         self._count(how)
+        for attempt in held.attempts:
+            if attempt is not None and attempt.live and self.transport.unsent(attempt):
+                self.transport.abort(attempt)
+                self.attempt_ended(attempt, api.Outcome.NOT_SENT, None)
 
     def _forget(self, held: Held) -> None:
         if self.requests.get(held.request.id) is held:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -219,6 +219,20 @@
         return self.ended()[number - 1]
 
 
+class Gate:
+    """The loop, except that a new connection comes up only once it is let."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop, self.let = loop, asyncio.Event()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+    async def create_connection(self, *args: Any) -> Any:
+        await self.let.wait()
+        return await self.loop.create_connection(*args)
+
+
 @asynccontextmanager
 async def world(rows: list[dict[str, Any]], **changes: Any) -> AsyncIterator[World]:
     """A running proxy that knows these backends and whose first watch has been answered with nothing new."""
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -72,6 +72,7 @@
         self.started: list[Call] = []
         self.aborted: list[Call] = []
         self.closed: list[str] = []
+        self.opening: set[Call] = set()
 
     def known(self, endpoint: str) -> bool:
         return endpoint in self.names
@@ -82,6 +83,9 @@
     def abort(self, call: Call) -> None:
         self.aborted.append(call)
 
+    def unsent(self, call: Call) -> bool:
+        return call in self.opening
+
     def close_idle(self, endpoint: str) -> None:
         self.closed.append(endpoint)
 
@@ -321,6 +325,30 @@
     assert bench.outcomes() == [(1, O.OK, True), (0, O.OK, True)]
 
 
+@pytest.mark.parametrize("how", ["gone", "answered", "cut off"])
+def test_what_has_not_left_when_a_request_is_over_never_leaves(bench: Bench, how: str) -> None:
+    def on(event: api.Event) -> list[api.Action]:
+        return [*send_each(event), api.Send(event.id, "b2", 0.0)] if isinstance(
+            event, api.RequestArrived) else []
+    bench.script.on = on
+    request, caller = bench.arrive()
+    sent, opening = bench.transport.started
+    bench.transport.opening = {opening}
+    if how == "gone":
+        bench.driver.gone(request)
+    elif how == "answered":
+        sent.ended(O.OK, ok())
+    else:
+        bench.driver.fail_all()
+    bench.loop.turn()
+    assert bench.transport.aborted == [opening]
+    sent.ended(O.OK, ok())
+    bench.loop.turn()
+    assert set(bench.outcomes()) == {(0, O.OK, True), (1, O.NOT_SENT, True)}
+    assert len(caller.answers) == (how != "gone")
+    assert bench.driver.requests == {}
+
+
 def test_cancel_closes_and_ends_the_attempt_once(bench: Bench) -> None:
     bench.script.on = send_each
     bench.arrive()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -12,7 +12,7 @@
 from honeywharf.net import http1, upstream
 from honeywharf.net.proxy import Call, Clock
 from honeywharf.net.upstream import Pool
-from tests.loopback import Backend, Client, reply, row, run, soon, until, world
+from tests.loopback import Backend, Client, Gate, reply, row, run, soon, until, world
 
 O = api.Outcome  # noqa: E741
 
@@ -156,6 +156,7 @@
             pool.start(call)
             peer, _ = await soon(loop.sock_accept(deaf))
             await until(lambda: call.connection is not None)
+            assert pool.unsent(call)
             peer.close()
             await soon(call.outcome.wait())
             assert call.outcomes == [O.CONNECT_FAILED]
@@ -290,6 +291,30 @@
     run(main())
 
 
+def test_a_client_that_leaves_while_a_connection_comes_up_has_nothing_sent_on() -> None:
+    async def main() -> None:
+        backend = await Backend().start()
+        async with world([backend.row("b")], bounds={"connectTimeoutMs": 60000.0}) as w:
+            pool = w.proxy.pool
+            gate = Gate(pool.loop)
+            pool.loop = gate  # type: ignore[assignment]
+            client, stays = await Client.to(w.port), await Client.to(w.port)
+            client.send("pay", b"left")
+            await until(lambda: pool.handshakes == 1)
+            client.writer.close()
+            await until(lambda: any(isinstance(e, api.RequestExpired) for e in w.events))
+            gate.let.set()
+            await until(lambda: not pool.tasks)
+            assert [(e.outcome, e.request_over) for e in w.ended()] == [(O.NOT_SENT, True)]
+            assert w.proxy.driver.requests == {}
+            stays.send("pay", b"stays")  # the connection that came up serves the next one
+            assert await stays.status() == 200
+            assert [m[2] for m in backend.requests] == [b"stays"]
+            assert backend.connections == 1
+        await backend.stop()
+    run(main())
+
+
 def test_the_bound_on_connections_closes_idle_ones_and_then_sends_nothing() -> None:
     async def main() -> None:
         first, second = await Backend().start(), await Backend().start()
