Let a connection settle 25 ms after an answer before it is used again

Where the next request had left by then, it got that answer, which no backend made for it. Ruled out: what came before the request (stale() looks, and has its tests). At fault: Pool.start. A connection is now taken only if its last answer is 25 ms old; one that never carried anything is free at once, and the newest of the settled ones goes first as before.

The test sends the second answer once the next request has come, every time, and fails without the change. The inherited test that one connection carries five requests in a row now lets it settle in between.

--- a/honeywharf/net/upstream.py
+++ b/honeywharf/net/upstream.py
@@ -19,6 +19,9 @@
 IDLE_MARGIN_MS = 750.0
 IDLE_PART = 0.8  # of the shortest time after which a backend was seen to close one
 IDLE_LEAST_MS = 200.0  # under that it closes after an answer, not as idle
+# A connection is not used again so soon after its answer: a backend may send a second one some milliseconds
+# late, and it would be taken for the next request's. Costs a busy pool about one connection more.
+SETTLE_MS = 25.0
 SWEEP_S = 0.5
 # Between the pieces of an answer, and from its first to its last: a long one comes in many.
 # Guards against a head or a body that never ends, which would hold the attempt until the deadline.
@@ -58,8 +61,8 @@
     """One connection to a backend. It carries one call at a time, and writes each call once."""
 
     __slots__ = (
-        "backend", "begun_ms", "bytes_read", "call", "closed", "descriptor", "heard_ms", "idle_since", "pool",
-        "reader", "timer", "transport", "unsent",
+        "answered_ms", "backend", "begun_ms", "bytes_read", "call", "closed", "descriptor", "heard_ms",
+        "idle_since", "pool", "reader", "timer", "transport", "unsent",
     )
 
     def __init__(self, pool: Pool, backend: Backend) -> None:
@@ -67,7 +70,7 @@
         self.call: Call | None = None
         self.reader = http1.ResponseReader()
         self.unsent = self.closed = False
-        self.idle_since = 0.0
+        self.idle_since = self.answered_ms = 0.0  # its last whole answer came then: never, where it is new
         self.descriptor = -1
         self.timer: asyncio.TimerHandle | None = None  # while an answer has begun and not ended
         self.begun_ms = self.heard_ms = 0.0  # when its first and its latest piece came
@@ -172,6 +175,7 @@
         call, self.call = self.call, None
         self._disarm()
         if reusable:
+            self.answered_ms = self.pool.clock.now()
             self.pool.rest(self)
         else:
             self.drop()
@@ -246,11 +250,11 @@
     # Calls.
 
     def start(self, call: Call) -> None:
-        """Put the call on the connection used last, or on a new one."""
-        backend = self.backends[call.endpoint]
-        oldest = self.clock.now() - min(self.idle_ms, backend.idle_ms)
-        while backend.idle:
-            connection = backend.idle.pop()
+        """Put the call on the connection used last, of those that have settled, or on a new one."""
+        backend, now = self.backends[call.endpoint], self.clock.now()
+        oldest = now - min(self.idle_ms, backend.idle_ms)
+        for connection in [c for c in reversed(backend.idle) if c.answered_ms <= now - SETTLE_MS]:
+            backend.idle.remove(connection)
             if (connection.idle_since > oldest and not connection.transport.is_closing()
                     and not connection.stale()):
                 connection.carry(call)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -12,7 +12,7 @@
 from honeywharf.net import http1, upstream
 from honeywharf.net.proxy import Call, Clock
 from honeywharf.net.upstream import Pool
-from tests.loopback import Backend, Client, Gate, reply, row, run, soon, until, world
+from tests.loopback import Backend, Client, Gate, read_message, reply, row, run, soon, until, world
 
 O = api.Outcome  # noqa: E741
 
@@ -202,6 +202,52 @@
     run(main())
 
 
+def settle(pool: Pool) -> None:
+    """As if the last answers on all kept connections had come long enough ago."""
+    for backend in pool.backends.values():
+        for connection in backend.idle:
+            connection.answered_ms -= upstream.SETTLE_MS
+
+
+def test_a_second_answer_that_comes_late_is_not_taken_for_the_next_requests() -> None:
+    """It comes after the next request has left, every time: the backend waits for that."""
+    async def main() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            connections.append(writer)
+            try:
+                while True:
+                    _, _, body = await read_message(reader)
+                    while first and body != b"first":  # late: the next request is here
+                        other = first.pop()
+                        other.write(reply(200, b"first"))
+                        await other.drain()
+                    came.append(body)
+                    if body == b"first":
+                        first.append(writer)
+                    await asyncio.sleep(0.01)
+                    writer.write(reply(200, body))
+            except (asyncio.IncompleteReadError, ConnectionError):
+                writer.close()
+
+        connections: list[asyncio.StreamWriter] = []
+        came: list[bytes] = []
+        first: list[asyncio.StreamWriter] = []
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        async with world([row("b", server.sockets[0].getsockname()[1])]) as w:
+            client = await Client.to(w.port)
+            for body in (b"first", b"second"):
+                client.send("pay", body)
+                assert (await client.answer())[2] == body
+            assert came == [b"first", b"second"]
+            await until(lambda: w.proxy.pool.count == 1)  # the one with the late answer is closed
+            settle(w.proxy.pool)
+            client.send("pay", b"third")
+            assert (await client.answer())[2] == b"third"
+            assert len(connections) == 2
+        server.close()
+    run(main())
+
+
 def test_connections_are_kept_and_one_carries_one_request_at_a_time() -> None:
     async def main() -> None:
         backend = await Backend().start()
@@ -210,6 +256,7 @@
             for _ in range(5):
                 client.send()
                 assert await client.status() == 200
+                settle(w.proxy.pool)
             assert backend.connections == 1
             backend.then = None
             other = await Client.to(w.port)
