Take the callers in the listener's line before it closes at a planned stop

Lead from the review, proven: the listener closes by a timer, and a loop's timers go before its events. Where the loop is 0.2 s late at that moment (the front sends up to 0.4 s after SIGTERM, the timer stands at 0.6 s), the kernel had accepted callers that the close then reset, with requests that count as taken. Ruled out: a longer time to the close alone, which moves the moment and leaves the order. At fault: Front.stop_listening. It now takes who stands in line and only then closes, and the stop waits for those too. Test: a caller connects and sends in the very turn in which the listener's time is up; reset without the change.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -101,10 +101,7 @@
         self.loop.call_later(min(longest, KILL_AFTER_MS) / 1000.0 + BEFORE_KILL_S, self._cut_off)
 
     def _close_listener(self) -> None:
-        self.front.stop_listening()
-        self.front.on_empty = self.stopped.set
-        if not self.front.connections:
-            self.stopped.set()
+        self.front.stop_listening(self.stopped.set)
         self.loop.call_later(LAST_CALL_S, self.front.close_idle)
 
     def _cut_off(self) -> None:
--- a/honeywharf/net/downstream.py
+++ b/honeywharf/net/downstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import cast
@@ -190,12 +191,18 @@
         self.partial: dict[Connection, None] = {}
         self.idle: dict[Connection, None] = {}
         self.server: asyncio.Server | None = None
+        self.listener: socket.socket | None = None
+        self.accepting: set[asyncio.Task[object]] = set()
         self.draining = False
         self.on_empty: Callable[[], None] | None = None
 
     async def listen(self, where: Address) -> Address:
         """Open the listener; the address it has."""
-        self.server = await self.loop.create_server(lambda: Connection(self), *where, backlog=BACKLOG)
+        family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
+        self.listener = socket.create_server(where, family=family, backlog=BACKLOG)
+        self.listener.setblocking(False)
+        self.server = await self.loop.create_server(
+            lambda: Connection(self), sock=self.listener, backlog=BACKLOG)
         self.loop.call_later(SWEEP_S, self._sweep)
         host, port = self.server.sockets[0].getsockname()[:2]
         return host, port
@@ -239,7 +246,10 @@
     def left(self, connection: Connection) -> None:
         """A caller's connection is closed."""
         self.connections.discard(connection)
-        if not self.connections and self.on_empty is not None:
+        self._look_whether_empty()
+
+    def _look_whether_empty(self) -> None:
+        if not self.connections and not self.accepting and self.on_empty is not None:
             self.on_empty()
 
     def serve(self, request: http1.Request, connection: Connection) -> None:
@@ -271,10 +281,34 @@
         for connection in [*self.silent, *self.idle]:
             connection.close()
 
-    def stop_listening(self) -> None:
-        """Take no new connection."""
-        if self.server is not None:
+    def stop_listening(self, on_empty: Callable[[], None] | None = None) -> None:
+        """Take no new connection, and tell when the last one is closed.
+
+        Those that stand in the listener's line are taken first. Guards against resetting them, with requests
+        that count as taken, where the loop is late and the listener's time comes before its events.
+        """
+        self.on_empty = on_empty
+        if self.server is not None and self.listener is not None and self.server.is_serving():
+            while (caller := self._next_in_line(self.listener)) is not None:
+                task = self.loop.create_task(
+                    self.loop.connect_accepted_socket(lambda: Connection(self), caller))
+                self.accepting.add(task)
+                task.add_done_callback(self._accepted)
             self.server.close()
+        self._look_whether_empty()
+
+    @staticmethod
+    def _next_in_line(listener: socket.socket) -> socket.socket | None:
+        try:
+            caller, _ = listener.accept()
+        except OSError:  # none is left, or no descriptor for it
+            return None
+        caller.setblocking(False)
+        return caller
+
+    def _accepted(self, task: asyncio.Task[object]) -> None:
+        self.accepting.discard(task)
+        self._look_whether_empty()
 
     def _sweep(self) -> None:
         """Guards against callers that keep a descriptor and ask nothing, or never come to an end."""
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from contextlib import suppress
 
 import pytest
@@ -310,6 +311,27 @@
     run(main())
 
 
+def test_who_stands_in_line_when_the_listener_closes_is_still_served() -> None:
+    """The loop is late, every time: the caller comes in the very turn in which the listener's time is up."""
+    async def main() -> None:
+        backend = await Backend().start()
+        async with world([backend.row("b")]) as w:
+            w.proxy.drain()
+            with socket.create_connection(("127.0.0.1", w.port)) as late:
+                late.sendall(
+                    b"GET /api HTTP/1.1\r\nX-Correlation-Id: late\r\nX-Service-Class: read\r\n"
+                    b"X-Time-Left: 4000m\r\n\r\n")
+                w.proxy._close_listener()
+                late.setblocking(False)
+                answer = await soon(asyncio.get_running_loop().sock_recv(late, 4096))
+            assert answer.startswith(b"HTTP/1.1 200 ")
+            assert w.running is not None
+            await soon(asyncio.shield(w.running))
+            assert len(backend.requests) == 1
+        await backend.stop()
+    run(main())
+
+
 def test_the_end_comes_even_when_a_backend_never_answers(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("honeywharf.__main__.KILL_AFTER_MS", 100.0)
 
