Refuse what comes after the cut-off, and end once the answers have left

Lead from the review, proven: at the cut-off of a planned stop all open requests are answered and the process ended 50 ms later, whatever was still in a write buffer, and a request whose rest came in those 50 ms was sent on and lost. Ruled out: the real kill time (SIGKILL comes 0.25 s after the cut-off at the soonest, the end now 0.15 s after it at the latest); half-read requests before the cut-off, which are served or get a 408. At fault: Proxy._cut_off. The front now refuses what comes after it, and the process waits for answers on their way, by 150 ms at most. Test: a caller half through a large answer and one half through its request at the cut-off, over real sockets.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -30,6 +30,8 @@
 LAST_CALL_S = 0.5  # then, for connections that came and have not sent their request
 KILL_AFTER_MS = 3000.0  # SIGKILL comes 0.7 s after this, or the longest deadline if less, at the soonest
 BEFORE_KILL_S = 0.45  # so long after that time, what is still open is answered
+LEAVE_S = 0.05  # then the process ends,
+LEAVE_LATEST_MS = 150.0  # or at this time at the latest, where callers are slow to take their answers off
 STATS_S = 5.0
 
 
@@ -105,9 +107,17 @@
         self.loop.call_later(LAST_CALL_S, self.front.close_idle)
 
     def _cut_off(self) -> None:
-        """What is still open is answered before the process is killed."""
+        """What is still open is answered before the process is killed, and so is what comes from now on."""
+        self.front.cut = True
         self.driver.fail_all()
-        self.loop.call_later(0.05, self.stopped.set)
+        self.loop.call_later(LEAVE_S, self._leave, self.clock.now() + LEAVE_LATEST_MS)
+
+    def _leave(self, latest_ms: float) -> None:
+        """End once the answers have left. Guards against taking the rest of one along."""
+        if self.front.writing() and self.clock.now() < latest_ms:
+            self.loop.call_later(LEAVE_S / 5, self._leave, latest_ms)
+        else:
+            self.stopped.set()
 
     def _stats(self) -> None:
         """Now and then, what has been done since: a line for the operator."""
--- a/honeywharf/net/downstream.py
+++ b/honeywharf/net/downstream.py
@@ -194,6 +194,7 @@
         self.listener: socket.socket | None = None
         self.accepting: set[asyncio.Task[object]] = set()
         self.draining = False
+        self.cut = False  # the process is about to end: what comes now is refused at once
         self.on_empty: Callable[[], None] | None = None
 
     async def listen(self, where: Address) -> Address:
@@ -261,7 +262,7 @@
             connection.answer(404)
         elif self.driver.fault_of(request) is not None:
             connection.reject(400)
-        elif self.driver.full():
+        elif self.cut or self.driver.full():
             connection.answer(REFUSED)  # before it reaches the module: nothing has run
         elif not self.driver.arrived(request, connection):
             connection.answer(409)
@@ -310,6 +311,10 @@
         self.accepting.discard(task)
         self._look_whether_empty()
 
+    def writing(self) -> bool:
+        """Whether part of an answer has not left yet."""
+        return any(c.transport.get_write_buffer_size() for c in self.connections)
+
     def _sweep(self) -> None:
         """Guards against callers that keep a descriptor and ask nothing, or never come to an end."""
         now, crowded = self.clock.now(), len(self.connections) * 2 > self.most
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -332,6 +332,50 @@
     run(main())
 
 
+def test_after_the_cut_off_what_comes_is_refused_and_answers_leave_whole(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """One caller has its answer half taken off when the process is about to end, another one just asks."""
+    monkeypatch.setattr("honeywharf.__main__.LEAVE_LATEST_MS", 1e6)
+
+    async def main() -> None:
+        backend = await Backend().start()
+        backend.then = reply(200, b"x" * 900_000 + b"end")
+        async with world([backend.row("b")]) as w:
+            loop = asyncio.get_running_loop()
+            late = await Client.to(w.port)
+            late.writer.write(b"GET /api HTTP/1.1\r\n")
+            await until(lambda: len(w.proxy.front.partial) == 1)
+            with socket.socket() as slow:
+                slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                slow.setblocking(False)
+                await loop.sock_connect(slow, ("127.0.0.1", w.port))
+                await until(lambda: len(w.proxy.front.silent) == 1)
+                (caller,) = w.proxy.front.silent
+                caller.transport.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                await loop.sock_sendall(
+                    slow, b"GET /api HTTP/1.1\r\nX-Correlation-Id: slow\r\nX-Service-Class: read\r\n"
+                    b"X-Time-Left: 4000m\r\n\r\n")
+                await until(w.proxy.front.writing)
+                w.proxy.drain()
+                w.proxy._cut_off()
+                late.writer.write(
+                    b"X-Correlation-Id: late\r\nX-Service-Class: read\r\nX-Time-Left: 4000m\r\n\r\n")
+                assert await late.status() == 503
+                w.proxy._leave(w.proxy.clock.now() + 1e6)
+                assert not w.proxy.stopped.is_set()
+                slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+                whole = b""
+                while not whole.endswith(b"end"):
+                    whole += await soon(loop.sock_recv(slow, 1 << 20))
+            assert whole.endswith(b"\r\n\r\n" + b"x" * 900_000 + b"end")
+            await until(w.proxy.stopped.is_set)
+            assert len(backend.requests) == 1
+        await backend.stop()
+    run(main())
+
+
 def test_the_end_comes_even_when_a_backend_never_answers(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("honeywharf.__main__.KILL_AFTER_MS", 100.0)
 
