Ask a pushed list's agent again within the grace for drains

From the review of discovery's return: where lists are pushed, what the agent gets when it returns counts as told in that moment, but an agent that could not be reached for seconds was asked again only after up to 1 s, with a grace of 0.12 to 0.5 s in the deployments at hand. Ruled out for lists that are asked for: there the count starts anew at the return. At fault: RETRY_MOST_S in Watch._failed. The pause is now half of the grace at most, from the settings. Test over real sockets: an agent refuses eight times and returns with a drain; fails without.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -50,7 +50,7 @@
         self.directory = Directory(self.pool)
         self.watch = Watch(
             loop, self.clock, conf.discovery, self.directory, self.driver.listed,
-            polled=conf.settings.polled_discovery)
+            polled=conf.settings.polled_discovery, drain_grace_ms=conf.settings.rules.drain_grace_ms)
         self.driver.registry = self.watch
         # A list held serves at once. Guards against a restarted proxy that knows its backends and stays out
         # of service while discovery is slow: a rolling restart then leaves no proxy of the tier in service.
--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -30,6 +30,7 @@
 QUIET_S = 0.05  # before the next call where an answer came at once with nothing new; 0.2 s ends a watch
 RETRY_S = (0.02, 0.1)  # the first retry comes within a random time between these, the next within twice that
 RETRY_MOST_S = 1.0
+RETRY_PART = 0.5  # of the grace for drains, at most, where lists are pushed: the rest is for the call itself
 MAX_LIST = 16 * 1024 * 1024
 STATES = {
     "up": api.EndpointState.READY, "draining": api.EndpointState.DRAINING, "removed": api.EndpointState.GONE,
@@ -134,10 +135,14 @@
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, clock: Clock, where: Address, directory: Directory,
-        tell: Callable[[api.EndpointsListed], None], *, polled: bool,
+        tell: Callable[[api.EndpointsListed], None], *, polled: bool, drain_grace_ms: float,
     ) -> None:
         self.loop, self.clock, self.where, self.directory, self.tell = loop, clock, where, directory, tell
         self.polled = polled  # the module asks for each watch, and is told when one fails
+        # Guards against sending past the grace where lists are pushed: what the agent has when it returns
+        # counts as told in that moment, whether or not this proxy has asked again yet.
+        self.retry_most_s = RETRY_MOST_S if polled else min(
+            RETRY_MOST_S, max(RETRY_S[0], RETRY_PART * drain_grace_ms / 1000.0))
         self.wanted = self.whole = False
         self.moved = False  # until the new address has given a whole list: versions don't compare
         self.up = False  # the first call has been answered, or is out with one that says nothing
@@ -277,7 +282,7 @@
             self.wanted = self.whole = False
             self.tell(api.EndpointsListed(api.ListKind.FAILED))
             return
-        least, most = (min(RETRY_MOST_S, x * 2 ** min(self.failures, 6)) for x in RETRY_S)
+        least, most = (min(self.retry_most_s, x * 2 ** min(self.failures, 6)) for x in RETRY_S)
         self.failures += 1
         self._arm(self.random.uniform(least, most), self._next)
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -301,6 +301,36 @@
     run(main())
 
 
+def test_a_pushed_list_is_asked_for_again_within_the_grace_for_drains() -> None:
+    """An agent that cannot be reached for long returns with a drain: that counts as told in that moment."""
+    async def main() -> None:
+        leaves, stays = await Backend().start(), await Backend().start()
+        discovery = await Discovery().start()
+        port = discovery.port
+        await discovery.stop()
+        rows = [leaves.row("leaves"), stays.row("stays")]
+        w = World(make_config(port, rows, contract={"stopSendingWithinMs": 120.0}), discovery)
+        await w.start()
+        await until(lambda: w.proxy.watch.failures >= 8)  # its pause has grown as far as it will
+        await until(lambda: w.proxy.watch.connecting is None)
+        timer, now = w.proxy.watch.timer, asyncio.get_running_loop().time()
+        assert timer is not None
+        assert timer.when() - now <= 0.07
+        await discovery.start(port)
+        discovery.tell(2, leaves.row("leaves", lifecycle="draining"))
+        await told(w, 2)
+        client = await Client.to(w.port)
+        client.send()
+        assert await client.status() == 200
+        assert leaves.requests == []
+        assert w.running is not None
+        w.running.cancel()
+        for backend in (leaves, stays):
+            await backend.stop()
+        await discovery.stop()
+    run(main())
+
+
 async def moved(w: World, discovery: Discovery) -> None:
     """Wait until the watch stands at that discovery: the whole list asked for first, then changes."""
     await until(lambda: len(discovery.calls) >= 2)
