Send nothing on the list of the last life where lists are pushed

A process takes 0.17 s and more to listen; where lists are pushed, what the agent has counts as told from its first moment. At fault: the readiness in Proxy.__init__ (names held are enough), and Front.serve, which did not ask it: callers come while the front has not noticed the restart. Both now wait for the first answer, or for its silence.

Test over real sockets: a backend drained while the proxy was away gets nothing; both cases fail without the change. The inherited test that a list held serves at once while discovery is silent now holds where lists are asked for; for pushed lists the standing test says otherwise, and the new test is as strict there.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -54,9 +54,11 @@
         self.driver.registry = self.watch
         # A list held serves at once. Guards against a restarted proxy that knows its backends and stays out
         # of service while discovery is slow: a rolling restart then leaves no proxy of the tier in service.
+        # But where lists are pushed, what the agent has counts as told from a process's first moment, and the
+        # list held may be old: there the first answer is waited for, which comes within milliseconds.
         self.front = Front(
             loop, self.clock, self.driver, room - upstream,
-            lambda: bool(self.directory.names) or self.watch.up)
+            lambda: self.watch.up or (conf.settings.polled_discovery and bool(self.directory.names)))
         self.stopped = asyncio.Event()
         self.told: dict[str, int] = {}
         self.environ: Mapping[str, str] = os.environ
--- a/honeywharf/net/downstream.py
+++ b/honeywharf/net/downstream.py
@@ -262,7 +262,7 @@
             connection.answer(404)
         elif self.driver.fault_of(request) is not None:
             connection.reject(400)
-        elif self.cut or self.driver.full():
+        elif self.cut or not self.watch_is_up() or self.driver.full():
             connection.answer(REFUSED)  # before it reaches the module: nothing has run
         elif not self.driver.arrived(request, connection):
             connection.answer(409)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -163,8 +163,9 @@
     async def main() -> None:
         discovery = await Discovery().start()  # takes calls and answers none
         backend = await Backend().start()
-        w = World(make_config(discovery.port, [backend.row("b")]), discovery)
+        w = World(make_config(discovery.port, [backend.row("b")], discovery="ask"), discovery)
         await w.start()
+        w.proxy.watch.watch()
         await soon(discovery.called.wait())
         assert not w.proxy.watch.up
         client = await Client.to(w.port)
@@ -180,6 +181,42 @@
     run(main())
 
 
+@pytest.mark.parametrize("silent", [False, True])
+def test_where_lists_are_pushed_nothing_is_sent_on_the_list_of_the_last_life(silent: bool) -> None:
+    """A backend drained while the proxy was away: that counts as told from the proxy's first moment.
+
+    Callers that did not ask whether it is ready come all the same. A silent agent keeps it out for seconds.
+    """
+    async def main() -> None:
+        discovery = await Discovery().start()
+        leaves, stays = await Backend().start(), await Backend().start()
+        w = World(make_config(discovery.port, [leaves.row("leaves"), stays.row("stays")]), discovery)
+        await w.start()
+        await soon(discovery.called.wait())
+        client = await Client.to(w.port)
+        assert await client.ask(b"GET /health/ready HTTP/1.1\r\n\r\n") == 503
+        for _ in range(12):
+            client.send()
+            assert await client.status() == 503
+        if silent:
+            w.proxy.watch._silent()
+        else:
+            discovery.tell(2, leaves.row("leaves", lifecycle="draining"))
+            await until(lambda: w.proxy.watch.up)
+        assert await client.ask(b"GET /health/ready HTTP/1.1\r\n\r\n") == 200
+        assert leaves.requests == stays.requests == []
+        for _ in range(12):
+            client.send()
+            assert await client.status() == 200
+        assert silent or leaves.requests == []
+        assert w.running is not None
+        w.running.cancel()
+        for backend in (leaves, stays):
+            await backend.stop()
+        await discovery.stop()
+    run(main())
+
+
 def test_a_call_that_stands_in_line_is_not_given_up_soon() -> None:
     """Discovery takes calls in turn: whoever calls anew after a second goes back to the end of the line."""
     async def main() -> None:
