Let a server that holds no call pass the check of its own part of the limit

A trial that logs each request with the check that turned it away shows browse at the front: 8522 arrived, 3935 sent, 5307 refused, 4587 of them before any attempt, 68 attempts out of time, few errors; in the tier behind 7564 of 7803 served. So it is refused, not late and not failed. One case, n3 at 0.36 s: one call in flight in the own zone, limit 20.0, 31 usable servers, and yet all 8 picks of each level are passed over by the check of the server's own part ('serverroom0':8,'serverroom1':8,'serverroom2':8).

Cause: Zone.has_room with a server. The odds are drawn once a request, so that 68% of the requests passed over every idle server at once. In the tiers behind the same sends calls out of the own zone.

Ruled out: the limit that falls (it stood at its first value then), late lists (nothing had changed yet), cold or ejected servers (no such check among those that refused), no time left (5741 of 5751 ms). What the zone's own limit refuses (homeroom) is a second cause, not touched here.

Now a server that holds no call of this balancer passes; the zone's limit still bounds all calls. Tests: idle servers are not passed over where many share them, and deeper down calls stay in the own zone; both fail without.

--- a/honeywharf/brain.py
+++ b/honeywharf/brain.py
@@ -96,8 +96,12 @@
         """Whether one more call fits into the part of the limit that is open to it; a fraction by chance.
 
         With a server: into its own part of that. Guards against calls that pile up on one server, or keep a
-        small one as busy as a large one, while its neighbours sit light: such a server is passed over.
+        small one as busy as a large one, while its neighbours sit light: such a server is passed over. One
+        that holds no call has nothing piled on it, however small its part: where many balancers share many
+        servers it is under one call each, and the odds, which are the same for all, would pass over them all.
         """
+        if server is not None and not server.calls:
+            return True
         calls = self.in_flight if server is None else len(server.calls)
         capacity = self.capacity if server is None else server.capacity
         sliver: float = SLIVER * part ** (1.0 / WORTH_POWER)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -312,6 +312,33 @@
     assert held["a0"] > 2 * held["a2"]
 
 
+DEAR = api.RequestClass("dear", 1000, 2000, worth=12.0)
+CHEAP = api.RequestClass("cheap", 1000, 2000, worth=1.0)
+
+
+def test_idle_servers_are_not_passed_over_where_many_share_them() -> None:
+    """Guards against turning away the class worth least while the whole fleet idles (herd+mass, npc-no-slow).
+
+    Each of many servers has a part of less than one call of the zone's limit, which has room for several.
+    """
+    driver = Driver(make_settings(classes=(DEAR, CHEAP), balancers=12))
+    driver.list([endpoint(f"a{i}") for i in range(30)])
+    zone = driver.balancer.zones["a"]
+    for _ in range(100):
+        driver.now += 100
+        assert zone.limit * zone.capacity > 9
+        assert isinstance(driver.request("cheap")[0], api.Send)
+        driver.end(api.Outcome.OK, after_ms=50)
+
+
+def test_deeper_down_calls_stay_in_the_own_zone_where_many_share_it() -> None:
+    driver = Driver(make_settings(classes=(DEAR, CHEAP), tier=1, tiers=2, balancers=100))
+    driver.list([endpoint(f"{zone}{i}", zone) for zone in "ab" for i in range(30)])
+    for _ in range(100):
+        assert only_send(driver.request("cheap")).endpoint.startswith("a")
+        driver.end(api.Outcome.OK, after_ms=50)
+
+
 def test_servers_of_which_nothing_is_known_hold_two_calls_a_tier() -> None:
     """Guards against zones that spill at ease, as a call that waits for the next tier fills them."""
     driver = Driver(make_settings(tiers=2, zones=2, balancers=2))
