Ask whether the client is still there just before an attempt's bytes leave

The loop reads the socket at its next turn, so with a busy loop, a request sent ahead on the connection, a connection that comes up in that turn, or the outcome that a further attempt follows on, the bytes left first. And a client that ended its sending while an answer was not taken off yet kept its request alive: the loss of the connection is told only once that answer has left.

Lines at fault: Connection.carry wrote without asking; the callers' Connection had no eof_received.

Now carry, the one place where bytes leave, asks the system (POLLRDHUP on the client's socket) and ends the request as gone; the connection goes back unused, its idle time counted from its last byte as before.

--- a/honeywharf/net/downstream.py
+++ b/honeywharf/net/downstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -32,8 +33,8 @@
     """One caller's connection: one request at a time, in the order they came."""
 
     __slots__ = (
-        "among", "current", "ended", "fault", "front", "reader", "since_ms", "thrown", "timer", "transport",
-        "waiting", "waiting_bytes",
+        "among", "current", "descriptor", "ended", "fault", "front", "reader", "since_ms", "thrown", "timer",
+        "transport", "waiting", "waiting_bytes",
     )
 
     def __init__(self, front: Front) -> None:
@@ -48,11 +49,13 @@
         self.among: dict[Connection, None] | None = None  # which of the front's groups it is in
         self.since_ms = 0.0  # in that group since then
         self.timer: asyncio.TimerHandle | None = None
+        self.descriptor = -1
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Join the others."""
         self.transport = cast(asyncio.Transport, transport)
+        self.descriptor = self.transport.get_extra_info("socket").fileno()
         self.front.joined(self)
 
     def _continue(self) -> None:
@@ -161,18 +164,38 @@
             self._stop()
             self.transport.abort()
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        """The caller has gone; so has its request, if it was not answered."""
+    def gone(self) -> bool:
+        """Whether the caller has closed or ended its sending, read by the loop or not."""
+        if self.ended or self.transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(self.descriptor, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    def eof_received(self) -> bool:
+        """The caller has closed, or cancelled.
+
+        Its loss comes later where it has not taken off an answer yet: nothing must be sent on till then.
+        """
+        self._leave()
+        return False
+
+    def _leave(self) -> None:
+        """Its request goes too, if it was not answered, and those that wait behind it."""
         request = self.current
         self._stop()
+        if request is not None:
+            self.front.driver.gone(request)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The caller has gone."""
+        self._leave()
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
         self.front.left(self)
         self.reader.close()
         del self.reader
-        if request is not None:
-            self.front.driver.gone(request)
 
 
 class Front:
--- a/honeywharf/net/proxy.py
+++ b/honeywharf/net/proxy.py
@@ -71,6 +71,9 @@
     ) -> None:
         """Write the final answer."""
 
+    def gone(self) -> bool:
+        """Whether it has closed or cancelled, as the system knows it now."""
+
 
 class Call:
     """Bytes on their way to a backend and back. The transport calls `ended` once, unless it is aborted."""
@@ -85,6 +88,10 @@
         self.connection: object = None
         self.opening = False
 
+    def wanted(self) -> bool:
+        """Whether somebody still waits for it: asked just before its bytes leave."""
+        return True
+
     def ended(self, outcome: api.Outcome, response: http1.Response | None) -> None:
         """What came of it."""
         raise NotImplementedError
@@ -145,6 +152,16 @@
         self.live = True
         self.timer: Timer | None = None
 
+    def wanted(self) -> bool:
+        """Whether its client is still there.
+
+        Guards against attempts that leave after their client has: its close may wait in the system, unread,
+        behind a busy loop, a pipelined request, or the outcome that this attempt follows on.
+        """
+        if not self.held.over and self.held.caller.gone():
+            self.driver.gone(self.held.request)
+        return not self.held.over
+
     def ended(self, outcome: api.Outcome, response: http1.Response | None) -> None:
         """Pass the outcome on."""
         self.driver.attempt_ended(self, outcome, response)
--- a/honeywharf/net/upstream.py
+++ b/honeywharf/net/upstream.py
@@ -81,6 +81,7 @@
         """Ask to be told whenever a write does not leave at once."""
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=0)
+        self.idle_since = self.pool.clock.now()
         self.descriptor = self.transport.get_extra_info("socket").fileno()
 
     def pause_writing(self) -> None:
@@ -92,7 +93,12 @@
         self.unsent = False
 
     def carry(self, call: Call) -> None:
-        """Write the whole request, in one write."""
+        """Write the whole request, in one write, if somebody still waits for it."""
+        if not call.wanted():
+            self.pool.rest(self)
+            # Its end never comes from within `Pool.start`.
+            self.pool.loop.call_soon(self.pool.not_connected, call, O.NOT_SENT)
+            return
         self.call, call.connection = call, self
         left = b"" if call.probe else http1.time_left(call.until_ms - self.pool.clock.now())
         host = b"Host: %b\r\n" % self.backend.host if call.probe else b""
@@ -175,7 +181,7 @@
         call, self.call = self.call, None
         self._disarm()
         if reusable:
-            self.answered_ms = self.pool.clock.now()
+            self.idle_since = self.answered_ms = self.pool.clock.now()
             self.pool.rest(self)
         else:
             self.drop()
@@ -266,7 +272,7 @@
             connection.drop()
         if self.count >= self.most and not self._make_room():
             # Guards against blaming the backend for what this proxy lacks. Never from within `start`.
-            self.loop.call_soon(self._not_connected, call, O.NOT_SENT)
+            self.loop.call_soon(self.not_connected, call, O.NOT_SENT)
             return
         self.count += 1
         self.handshakes += 1
@@ -288,7 +294,8 @@
         connection = call.connection
         return call.opening or (isinstance(connection, Connection) and connection.unsent)
 
-    def _not_connected(self, call: Call, outcome: api.Outcome = O.CONNECT_FAILED) -> None:
+    def not_connected(self, call: Call, outcome: api.Outcome = O.CONNECT_FAILED) -> None:
+        """Nothing of the call has left."""
         call.opening = False
         call.ended(outcome, None)
 
@@ -304,12 +311,12 @@
                 connection.count_off()
             if call.opening:
                 own = isinstance(fault, OSError) and fault.errno in OWN_FAULTS
-                self._not_connected(call, O.NOT_SENT if own else O.CONNECT_FAILED)
+                self.not_connected(call, O.NOT_SENT if own else O.CONNECT_FAILED)
             return
         if connection.closed or connection.transport.is_closing():
             connection.drop()
             if call.opening:
-                self._not_connected(call)
+                self.not_connected(call)
         elif call.opening and backend.open_for_work:
             call.opening = False
             connection.carry(call)
@@ -318,14 +325,13 @@
             # decided before must not reach it now, as a connection may take longer than the grace.
             self.rest(connection)
             if call.opening:
-                self._not_connected(call, O.NOT_SENT)
+                self.not_connected(call, O.NOT_SENT)
 
     def rest(self, connection: Connection) -> None:
         """Keep the connection for the next call, unless its backend has moved on."""
         if not connection.backend.open_for_work:
             connection.drop()
             return
-        connection.idle_since = self.clock.now()
         connection.backend.idle.append(connection)
 
     def dropped(self, connection: Connection) -> None:
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -117,6 +117,9 @@
     ) -> None:
         self.answers.append((status, body, retry_after_ms))
 
+    def gone(self) -> bool:
+        return False
+
 
 class Bench:
     def __init__(self) -> None:
