Let callers that had their last answer go first when descriptors run short

Seen with a process of 256 descriptors and discovery down: 600 silent callers, 1500 that ask for the health page and stay, and 900 that queue while the process is stopped all keep to 145 descriptors, 30 of 30 requests are served or refused, discovery is called within 1.7 s of its return and no processor time is used meanwhile. 900 callers with a bad request hold all 256: each lingers 0.5 s after its answer, and nothing counted that against the bound, as Front._make_room looked at the silent, partial and idle only and turned the next caller away with a further linger.

Ruled out: a burst in the listener's line, the pool (its own bound of 102), and spinning (no time used at 256).

Now those that linger are a group of their own, and one whose answer has left goes first. Test: a flood of callers that are turned away keeps to the bound; fails without.

--- a/honeywharf/net/downstream.py
+++ b/honeywharf/net/downstream.py
@@ -140,6 +140,7 @@
         Guards against a reset, which takes back the answer where bytes have come that nobody has read.
         """
         self._stop()
+        self.front.move(self, self.front.leaving)
         if self.transport.can_write_eof():
             self.transport.write_eof()
         self.timer = self.front.loop.call_later(LINGER_S, self._cut)
@@ -213,6 +214,7 @@
         self.silent: dict[Connection, None] = {}
         self.partial: dict[Connection, None] = {}
         self.idle: dict[Connection, None] = {}
+        self.leaving: dict[Connection, None] = {}  # those that have had their last answer, and linger
         self.server: asyncio.Server | None = None
         self.listener: socket.socket | None = None
         self.accepting: set[asyncio.Task[object]] = set()
@@ -240,7 +242,16 @@
         self.move(connection, self.silent)
 
     def _make_room(self) -> bool:
-        """Close one that says nothing, or only half of it, before one that has been served."""
+        """Close one that says nothing, or only half of it, before one that has been served.
+
+        The first to go is one that has had its last answer. Guards against a flood of callers that are turned
+        away: each lingers for a while, and together they would leave no descriptor for anything else.
+        """
+        answered = next((c for c in self.leaving if not c.transport.get_write_buffer_size()), None)
+        if answered is not None:
+            self.move(answered, None)
+            answered.transport.abort()
+            return True
         young = self.clock.now() - YOUNG_MS
         for group in (self.silent, self.partial):
             first = next(iter(group), None)
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -264,6 +264,34 @@
     run(main())
 
 
+def test_a_flood_of_callers_that_are_turned_away_keeps_to_the_bound_and_all_are_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards the descriptors: else what lingers after its last answer leaves none for all the rest."""
+    monkeypatch.setattr(downstream, "LINGER_S", 60.0)
+
+    async def main() -> None:
+        backend = await Backend().start()
+        async with world([backend.row("b")]) as w:
+            front = w.proxy.front
+            front.most = 8
+            busy = await Client.to(w.port)
+            backend.then = None
+            busy.send()
+            await soon(backend.came.wait())
+            crowd = []
+            for _ in range(40):
+                crowd.append(await Client.to(w.port))  # who stay
+                assert await crowd[-1].ask(b"nonsense\r\n\r\n") == 400
+                assert len(front.connections) <= front.most
+            for writer in list(backend.writers):
+                writer.write(reply())
+            assert await busy.status() == 200
+            assert await busy.ask(b"GET /health/ready HTTP/1.1\r\n\r\n") == 200
+        await backend.stop()
+    run(main())
+
+
 def test_part_of_a_request_does_not_stay_for_ever(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(downstream, "SLOW_MS", 50.0)
     monkeypatch.setattr(downstream, "SWEEP_S", 0.02)
