End a discovery call's patience with the call, so that the module's pause holds

From 15 s on, 4 s after discovery is back, 60 to 90 calls a second reach it and 0 to 6 are answered with changes; 30 a second end in 503 after 2000 ms, 30 to 50 in 503 after 20 ms; 71 of 264 proxies have had no list for over 6 s at 16 s, 94 at 20 s. n1 shows why: "status 503 after 2001", and 1.5 s later "silent for 3500 ms" with no call out. From then on it calls each second instead of after the module's pause, and so do all others: a line that is never empty answers nobody.

Line at fault: Watch._failed left the timer of the failed call armed. Where the module's pause outlasts it, it fires as if a watch had fallen silent, sets broken_ms, and each further failure skips the module.

Ruled out: renewals of watches that stand (answered at 5000 ms to the millisecond, also while the line is full), the size of the lists (the collapse holds for the tier with no changes), and discovery being down (back at 11 s).

Test: a refused call is over; fails without.

--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -277,6 +277,7 @@
     def _failed(self) -> None:
         """Call again soon, not in step with others; where the module asks for watches, it is told instead."""
         self.calling = self.answered = False
+        self._disarm()
         self._close()
         if self.polled and not self.broken_ms:
             self.wanted = self.whole = False
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -270,6 +270,24 @@
     run(main())
 
 
+def test_a_refused_call_is_over_and_never_taken_for_a_silent_one() -> None:
+    """Else the module's pause is left out from then on, and all proxies call each second."""
+    async def main() -> None:
+        discovery = await Discovery().start()
+        w = World(make_config(discovery.port, [row("b", 1)], discovery="ask"), discovery)
+        await w.start()
+        for number in (1, 2):
+            discovery.answers.put_nowait(reply(503))
+            w.proxy.watch.watch()
+            await until(lambda: sum(e.kind is api.ListKind.FAILED for e in lists(w)) == number)  # noqa: B023
+            assert w.proxy.watch.timer is None  # nothing is due before the module's next word
+        assert not w.proxy.watch.up
+        assert w.running is not None
+        w.running.cancel()
+        await discovery.stop()
+    run(main())
+
+
 @pytest.mark.parametrize("mode", ["ask", "push"])
 @pytest.mark.parametrize("waits", [True, False], ids=["a watch", "a call in line"])
 def test_a_call_that_fell_silent_is_made_anew_before_what_it_missed_counts_as_told(
