Form the answer rate over 20 answers at least, so that chance does not raise it

Term: beyond the budget of N calls to a cold server only 2 sqrt(N) + 2 are chance, over all processes together.

Seen: the rate of answers that spaces the calls to cold servers followed a review of 250 ms upwards with 5 s and downwards with 60 s. Where a balancer hears an answer in several reviews at most, each one is a rise.

Lines at fault: Balancer._review, the two weights.

Now the rate is formed evenly both ways, over 5 s and 20 answers at least, and the highest fades in 60 s.

--- a/honeywharf/brain.py
+++ b/honeywharf/brain.py
@@ -28,7 +28,7 @@
 SILENT_MS = 10000.0  # without calls of a class that got no answer there: each trial may cost a request
 CLASS_ERRORS = 2  # errors in a row of one class: one alone may be chance, or a tier behind
 LINE_MS = 50.0  # about a call's turn in discovery's line: such a pause for each balancer lets all have one
-LEAST_PAUSE_MS = 500.0  # before discovery is asked again: a small part of the time in which a list is overdue
+LEAST_PAUSE_MS = 500.0  # but not under that. Guards against lists that are overdue for the pause alone
 FULL_MS = 1000.0  # pause after a refusal: a server that is full needs that long to work its queue down
 HUNG_AFTER = 3.0  # typical answer times: about one answer in some hundred comes that late by chance
 TYPICAL_OVER = 30  # answers over which the typical answer time is formed
@@ -50,8 +50,9 @@
 FOLLOWS = 0.3  # of an answer, in that mean: single ones come late by chance, and lowering goes faster
 ANSWER_SPAN_MS = 250.0  # the longest time that one answer may speak for
 COLD_MARGIN = 3.0  # of the multiple that pushes a cold server over, a third: calls come by chance and differ
-RATE_OVER_MS = 5000.0  # in which the rate of answers follows upwards: longer than bursts of chance
-RATE_KEPT_MS = 60000.0  # and downwards: what a server could do is still known when nothing answers
+RATE_OVER_MS = 5000.0  # over which the rate of answers is formed,
+RATE_ANSWERS = 20.0  # and over so many answers at least: by chance the highest is then a fifth too high
+RATE_KEPT_MS = 60000.0  # in which the highest fades: what a server could do is known when nothing answers
 OVER_SHARE_ROOM = 0.25  # part of a limit open to tenants over their share: the rest is kept for the others
 SHARE_BURST_MS = 5000.0  # of its share that a tenant may save: one balancer sees few of its calls
 WORTH_POWER = 0.4  # a request may use its worth over the mean request's, to this power, of a limit
@@ -228,7 +229,7 @@
         self.served, self.reviewed_ms = 0, 0.0  # answers since the last review
         aim = max(c.aim_ms for c in settings.classes)
         # Answers a ms of a warm server, to this balancer: at least one for each aim, over all balancers.
-        self.even_rate = self.least_rate = 1.0 / (aim * settings.balancers)
+        self.even_rate = self.rate = self.least_rate = 1.0 / (aim * settings.balancers)
         self.failed_watches, self.now = 0, 0.0
         self.told_ms: float | None = None  # while the list is overdue: changes so old count as told
         self.actions: list[api.Action] = []
@@ -287,7 +288,6 @@
         if event.kind is api.ListKind.FAILED:
             self.failed_watches += 1
             longest = self.settings.rules.ask_every_ms
-            # Guards against a list that is overdue for the pause alone, where few stand in discovery's line.
             most = max(LEAST_PAUSE_MS, LINE_MS * self.settings.balancers)
             self._watch_soon(min(longest, most, longest / 10 * 2 ** self.failed_watches))
             return
@@ -320,10 +320,10 @@
         # Ejection never leaves a live fleet unusable: with none usable, all that are ready count as usable.
         usable = [s for s in ready if s.usable_at <= self.now] or ready
         span = max(1.0, self.now - self.reviewed_ms)
-        rate = self.served / span / (sum(s.share for s in usable) or 1.0)
-        over = RATE_OVER_MS if rate > self.even_rate else RATE_KEPT_MS
-        self.even_rate += (rate - self.even_rate) * min(1.0, span / over)
-        self.even_rate = max(self.least_rate, self.even_rate)
+        shares = sum(s.share for s in usable) or 1.0
+        weight = min(1.0, span / max(RATE_OVER_MS, RATE_ANSWERS / (self.rate * shares)))
+        self.rate = max(self.least_rate, self.rate + (self.served / span / shares - self.rate) * weight)
+        self.even_rate = max(self.rate, self.even_rate * (1.0 - min(1.0, span / RATE_KEPT_MS)))
         self.served, self.reviewed_ms = 0, self.now
         self.levels = [[s for s in usable if s.endpoint.zone == self.settings.zone], usable, usable]
         first = FIRST_CALLS * (self.settings.tiers - self.settings.tier) * self.settings.zones
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -331,6 +331,23 @@
         driver.end(api.Outcome.OK, after_ms=50)
 
 
+@pytest.mark.parametrize(("balancers", "per_s"), [(25, 1.0), (200, 0.3)])
+def test_where_many_balancers_see_few_answers_chance_does_not_raise_the_rate(
+    balancers: int, per_s: float,
+) -> None:
+    """Cold servers get their part of this rate, summed over all balancers: a little too much is too much."""
+    rng, rates = random.Random(5), []
+    for seed in range(10):
+        driver = Driver(make_settings(balancers=balancers), seed)
+        driver.list([endpoint(f"a{i}") for i in range(10)])
+        for _ in range(round(300 * per_s)):
+            driver.now += rng.expovariate(per_s) * 1000.0 - 50.0
+            driver.request()
+            driver.end(api.Outcome.OK)
+        rates.append(driver.balancer.even_rate)
+    assert 0.6 < sum(rates) / len(rates) / (per_s / 1000.0 / 10) < 1.5
+
+
 def test_deeper_down_calls_stay_in_the_own_zone_where_many_share_it() -> None:
     driver = Driver(make_settings(classes=(DEAR, CHEAP), tier=1, tiers=2, balancers=100))
     driver.list([endpoint(f"{zone}{i}", zone) for zone in "ab" for i in range(30)])
