Let only a call that goes on with a watch wait, and round the loop's times in its test

A watch goes on where the next call comes within 200 ms of an answer; a later one, from a busy loop, starts a new watch and stands in line. Watch._next let it wait by whether the last call was answered, however long ago, so that its refusal in line was taken for the end of a watch that stood, and what the list may lack was thought younger by the time in line. Now the time of that answer decides.

Test: a call that comes too late to go on does not wait, and its refusal leaves the due time; fails without.

test_what_cannot_be_reached failed here now and then by 0.0005 ms, as the due time of a timer less the loop's time is not exact: both are whole milliseconds and are now compared as such.

--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -31,7 +31,8 @@
 # whole list takes discovery longer, for itself and for those before it in line.
 IN_LINE_MS = 3500.0
 WHOLE_MS = 5000.0
-QUIET_S = 0.05  # before the next call where an answer came at once with nothing new; 0.2 s ends a watch
+QUIET_S = 0.05  # before the next call where an answer came at once with nothing new
+GAP_MS = 150.0  # between an answer and a call that goes on with its watch: 0.2 s ends it, less the way there
 RETRY_S = (0.02, 0.1)  # the first retry comes within a random time between these, the next within twice that
 RETRY_MOST_S = 1.0
 RETRY_PART = 0.5  # of the grace for drains, at most, where lists are pushed: the rest is for the call itself
@@ -150,9 +151,10 @@
         self.wanted = self.whole = False
         self.moved = False  # until the new address has given a whole list: versions don't compare
         self.up = False  # the first call has been answered, or is out with one that says nothing
-        # The last call was answered. Else the next one does not wait: it may stand in line before its wait
-        # begins, and nobody could tell for how long it may say nothing.
-        self.answered = self.waits = False  # the last call was, the present one does
+        # When the last call was answered, if it was. A call soon after goes on with its watch and may wait;
+        # any other may stand in line before its wait begins: how long may it say nothing?
+        self.answered_ms = float("-inf")
+        self.waits = False  # the present call does
         self.due: asyncio.TimerHandle | None = None  # then what the list held may lack counts as told,
         self.told_ms = 0.0  # if discovery has had it for so long
         self.overdue = False  # it has come, and no list since
@@ -228,10 +230,11 @@
             self.connecting = self.loop.create_task(self._connect())
             return
         whole = self.whole or self.moved
-        wait = WAIT_MS if self.answered and not whole else 0
+        now = self.clock.now()
+        wait = WAIT_MS if now <= self.answered_ms + GAP_MS and not whole else 0
         self.waits = wait > 0
         target = PATH if whole else f"{PATH}?after={self.directory.generation}&wait_ms={wait}"
-        self.calling, self.called_ms, self.whole = True, self.clock.now(), whole
+        self.calling, self.called_ms, self.whole = True, now, whole
         patience = wait + SILENT_MS if wait else WHOLE_MS if whole else IN_LINE_MS
         self._arm(patience / 1000.0, self._silent)
         host = f"{self.where[0]}:{self.where[1]}"
@@ -285,7 +288,7 @@
         self.calling = self.whole = self.moved = False
         if not self.up:
             log(f"discovery: first answer, {len(self.directory.names)} endpoints")
-        self.up = self.answered = True
+        self.up, self.answered_ms = True, self.clock.now()
         self.failures = 0
         if not response.keep:
             self._close()
@@ -314,14 +317,14 @@
         """
         log(f"discovery: silent for {self.clock.now() - self.called_ms:.0f} ms")
         self.up = self.unsure = True
-        self.calling = self.answered = False
+        self.calling, self.answered_ms = False, float("-inf")
         self._close()
         self._next()
 
     def _failed(self, *, reached: bool = True) -> None:
         """Call again soon, not in step with others; where the module asks for watches, it is told instead."""
         self.unsure = self.unsure or reached
-        self.calling = self.answered = False
+        self.calling, self.answered_ms = False, float("-inf")
         self._disarm()
         self._close()
         if self.polled:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -294,7 +294,7 @@
     """In how many seconds what the list held may lack counts as told."""
     due = w.proxy.watch.due
     assert due is not None
-    return due.when() - asyncio.get_running_loop().time()
+    return round(due.when() - asyncio.get_running_loop().time(), 3)  # the loop's times are whole ms
 
 
 @pytest.mark.parametrize("mode", ["ask", "push"])
@@ -524,6 +524,35 @@
     run(main())
 
 
+def test_a_call_that_comes_too_late_to_go_on_with_a_watch_does_not_wait() -> None:
+    """It starts a new watch, in line: refused there, it does not show that the watch stood until then."""
+    async def main() -> None:
+        discovery = await Discovery().start()
+        w = World(make_config(discovery.port, [row("b", 1)], discovery="ask", contract={"askEveryMs": 1e6}),
+                  discovery)
+        await w.start()
+        watch = w.proxy.watch
+
+        def held_up(now_ms: float, event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.EndpointsListed):
+                watch.answered_ms -= 200.0  # as if the loop had been busy for so long
+            return []
+
+        w.proxy.driver.balancer.handle = held_up  # type: ignore[method-assign]
+        discovery.tell(1)
+        watch.watch()
+        await until(lambda: len(discovery.calls) == 2)
+        assert b"&wait_ms=0 " in discovery.calls[1]
+        watch._expect(6000.0, 3000.0)
+        discovery.answers.put_nowait(reply(503))
+        await until(lambda: not watch.calling)
+        assert due_s(w) <= 3.0
+        assert w.running is not None
+        w.running.cancel()
+        await discovery.stop()
+    run(main())
+
+
 def test_a_pushed_list_is_asked_for_again_within_the_grace_for_drains() -> None:
     """An agent that cannot be reached for long returns with a drain: that counts as told in that moment."""
     async def main() -> None:
