Repeat a keyed request only where its window outlasts the time a connection may take

Ruled out by reading: the group (zone and cell are those of the first attempt's endpoint, which never change), a repeat on an open connection (it leaves at once).

Now the window has to outlast that time-out. Test: a keyed repeat leaves within its window however late its connection; fails without.

--- a/honeywharf/brain.py
+++ b/honeywharf/brain.py
@@ -382,7 +382,9 @@
     def _pick(self, level: list[Server], depth: int, request: Request, chance: float) -> Server | None:
         """A few even picks; what is not usable, or has no room, is passed over."""
         if request.may_have_run() is not None:  # a retry that may only go to some servers
-            level = [s for s in level if request.may_send_to(s.endpoint, self.now)]
+            # Guards against a repeat that leaves after its window, as its connection took so long to come up.
+            latest = self.now + self.settings.limits.connect_timeout_ms
+            level = [s for s in level if request.may_send_to(s.endpoint, latest)]
         tried = request.attempts[-1].server if request.attempts else None
         sheds = self.settings.tier == 0  # deeper down the last level takes what no server has room for
         for _ in range(PICKS if level else 0):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -47,6 +47,18 @@
     assert cells[only_send(driver.end(outcome)).endpoint] == cells[first]
 
 
+@pytest.mark.parametrize(("after_ms", "again"), [(1000.0, True), (1200.0, False)])
+def test_a_keyed_repeat_leaves_within_its_window_however_late_its_connection(
+    after_ms: float, again: bool,
+) -> None:
+    limits = api.Limits(max_attempts=3, connect_timeout_ms=400.0)
+    driver = Driver(make_settings(limits=limits))
+    driver.list([endpoint("a0"), endpoint("a1")])
+    driver.request("keyed")
+    (action,) = driver.end(O.RESET, after_ms=after_ms)
+    assert isinstance(action, api.Send if again else api.Fail)
+
+
 def test_a_keyed_repeat_past_its_window_fails() -> None:
     driver = Driver()
     driver.list(CELLS)
