--- a/honeywharf/net/upstream.py
+++ b/honeywharf/net/upstream.py
@@ -1,207 +1,24 @@
-"""Connections to backends: a pool for each, one call a connection, and the outcome of each call."""
+"""All connections to all backends, within one bound: which of them carries a call, or that a new one does."""
 
 from __future__ import annotations
 
 import asyncio
 import errno
-import select
-from collections import deque
-from dataclasses import dataclass, field
-from typing import cast
 
 from honeywharf import interface as api
-from honeywharf.net import http1
+from honeywharf.net.backend import Backend, Connection
 from honeywharf.net.config import Address
 from honeywharf.net.proxy import Call, Clock
 
 # A backend closes an idle connection at the latest after the time in the settings, counted from when it wrote
 # its last byte: a connection nearer to that than this is closed, as a request on it would end as a reset.
 IDLE_MARGIN_MS = 750.0
-IDLE_PART = 0.8  # of the shortest time after which a backend was seen to close one
-IDLE_LEAST_MS = 200.0  # under that it closes after an answer, not as idle
 # A connection is not used again so soon after its answer: a backend may send a second one some milliseconds
 # late, and it would be taken for the next request's. Costs a busy pool about one connection more.
 SETTLE_MS = 25.0
 SWEEP_S = 0.5
-# Between the pieces of an answer, and from its first to its last: a long one comes in many.
-# Guards against a head or a body that never ends, which would hold the attempt until the deadline.
-ANSWER_S = 0.5
-WHOLE_ANSWER_S = 2.0
-ANSWERS_BYTES = 8 * 1024 * 1024  # of all answers that have begun and not ended: guards the memory
 OWN_FAULTS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
-O = api.Outcome  # noqa: E741
-# An answer that can't be read: the backend is up and has run the request. Guards against taking it for a
-# broken connection, which the module takes for the end of the backend's process.
-SPOILT = O.ERROR
-
-
-def outcome_of(response: http1.Response) -> api.Outcome:
-    """What a whole answer says of the attempt."""
-    if response.status == 200:
-        return O.OK
-    if response.status in (503, 504) and response.unprocessed:
-        return O.REJECTED
-    return O.ERROR
-
-
-@dataclass(slots=True, eq=False)
-class Backend:
-    """One address that discovery has named."""
-
-    address: Address
-    started_ms: float | None
-    host: bytes
-    open_for_work: bool = True  # else its connections are not kept
-    idle_ms: float = float("inf")  # what it was seen to close idle connections after, less a margin
-    idle: deque[Connection] = field(default_factory=deque)  # the last used at the right
-
-
-class Connection(asyncio.Protocol):
-    """One connection to a backend. It carries one call at a time, and writes each call once."""
-
-    __slots__ = (
-        "answered_ms", "backend", "begun_ms", "bytes_read", "call", "closed", "descriptor", "heard_ms",
-        "idle_since", "pool", "reader", "timer", "transport", "unsent",
-    )
-
-    def __init__(self, pool: Pool, backend: Backend) -> None:
-        self.pool, self.backend = pool, backend
-        self.call: Call | None = None
-        self.reader = http1.ResponseReader()
-        self.unsent = self.closed = False
-        self.idle_since = self.answered_ms = 0.0  # its last whole answer came then: never, where it is new
-        self.descriptor = -1
-        self.timer: asyncio.TimerHandle | None = None  # while an answer has begun and not ended
-        self.begun_ms = self.heard_ms = 0.0  # when its first and its latest piece came
-        self.bytes_read = 0  # of it
-        self.transport: asyncio.Transport
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Ask to be told whenever a write does not leave at once."""
-        self.transport = cast(asyncio.Transport, transport)
-        self.transport.set_write_buffer_limits(high=0)
-        self.idle_since = self.pool.clock.now()
-        self.descriptor = self.transport.get_extra_info("socket").fileno()
-
-    def pause_writing(self) -> None:
-        """Some of the request has not left yet: a break now proves that it never ran."""
-        self.unsent = True
-
-    def resume_writing(self) -> None:
-        """All of the request has left."""
-        self.unsent = False
-
-    def carry(self, call: Call) -> None:
-        """Write the whole request, in one write, if somebody still waits for it."""
-        if not call.wanted():
-            self.pool.rest(self)
-            # Its end never comes from within `Pool.start`.
-            self.pool.loop.call_soon(self.pool.not_connected, call, O.NOT_SENT)
-            return
-        self.call, call.connection = call, self
-        left = b"" if call.probe else http1.time_left(call.until_ms - self.pool.clock.now())
-        host = b"Host: %b\r\n" % self.backend.host if call.probe else b""
-        self.transport.write(b"%b%b%b\r\n%b" % (call.head, host, left, call.body))
-        if self.transport.is_closing():
-            # Guards against taking a write that failed for one that left: nothing of it did.
-            self.unsent = True
-
-    def data_received(self, data: bytes) -> None:
-        """Read the answer; bytes that nobody asked for end the connection."""
-        if self.closed:
-            return
-        if self.call is None:
-            self.drop()
-            return
-        try:
-            response = self.reader.feed(data)
-        except http1.MalformedError:
-            self._end(SPOILT, None)
-            return
-        if response is not None:
-            reader = self.reader
-            reusable = response.keep and reader.idle and not reader.surplus and not self.unsent
-            self._end(outcome_of(response), response, reusable=reusable)
-            return
-        self.heard_ms = self.pool.clock.now()
-        self.bytes_read += len(data)
-        self.pool.bytes_read += len(data)
-        if self.pool.bytes_read > ANSWERS_BYTES:
-            self._end(SPOILT, None)
-        elif self.timer is None:
-            self.begun_ms = self.heard_ms
-            self.timer = self.pool.loop.call_later(ANSWER_S, self._stalled)
-
-    def _stalled(self) -> None:
-        """Nothing more of the answer has come for long, or it takes too long as a whole."""
-        self.timer = None
-        due_ms = min(self.heard_ms + ANSWER_S * 1000.0, self.begun_ms + WHOLE_ANSWER_S * 1000.0)
-        left_s = (due_ms - self.pool.clock.now()) / 1000.0
-        if left_s > 0.001:
-            self.timer = self.pool.loop.call_later(left_s, self._stalled)
-        else:
-            self._end(SPOILT, None)
-
-    def _disarm(self) -> None:
-        self.pool.bytes_read -= self.bytes_read
-        self.bytes_read = 0
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-
-    def stale(self) -> bool:
-        """Whether something has come on the idle connection that the loop has not read yet.
-
-        Guards against taking bytes that came before a request for its answer.
-        """
-        poll = select.poll()
-        poll.register(self.descriptor, select.POLLIN)
-        return bool(poll.poll(0))
-
-    def eof_received(self) -> bool:
-        """The backend will say no more."""
-        if self.call is not None:
-            self._end(O.CONNECT_FAILED if self.unsent else O.RESET, None)
-        elif not self.closed:
-            # Guards against writing to a connection in the moment in which the backend closes it as idle,
-            # which it may do sooner than the settings say: the request would end as a reset.
-            idle_for = self.pool.clock.now() - self.idle_since
-            if idle_for > IDLE_LEAST_MS:
-                self.backend.idle_ms = max(IDLE_LEAST_MS, min(self.backend.idle_ms, IDLE_PART * idle_for))
-            self.drop()
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """The connection broke, or was closed."""
-        if not self.closed:
-            self._end(O.CONNECT_FAILED if self.unsent else O.RESET, None)
-
-    def _end(self, outcome: api.Outcome, response: http1.Response | None, *, reusable: bool = False) -> None:
-        call, self.call = self.call, None
-        self._disarm()
-        if reusable:
-            self.idle_since = self.answered_ms = self.pool.clock.now()
-            self.pool.rest(self)
-        else:
-            self.drop()
-        if call is not None:
-            call.connection = None
-            call.ended(outcome, response)
-
-    def drop(self) -> None:
-        """Close at once; what was not written stays unwritten."""
-        if not self.closed:
-            self.count_off()
-            self.transport.abort()
-
-    def count_off(self) -> None:
-        """Leave the pool, once; nothing that still comes is looked at."""
-        self.closed = True
-        self._disarm()
-        self.reader.close()
-        self.pool.dropped(self)
-
 
 class Pool:
     """All connections to all backends, within one bound."""
@@ -272,7 +89,7 @@
             connection.drop()
         if self.count >= self.most and not self._make_room():
             # Guards against blaming the backend for what this proxy lacks. Never from within `start`.
-            self.loop.call_soon(self.not_connected, call, O.NOT_SENT)
+            self.loop.call_soon(self.not_connected, call, api.Outcome.NOT_SENT)
             return
         self.count += 1
         self.handshakes += 1
@@ -294,7 +111,7 @@
         connection = call.connection
         return call.opening or (isinstance(connection, Connection) and connection.unsent)
 
-    def not_connected(self, call: Call, outcome: api.Outcome = O.CONNECT_FAILED) -> None:
+    def not_connected(self, call: Call, outcome: api.Outcome = api.Outcome.CONNECT_FAILED) -> None:
         """Nothing of the call has left."""
         call.opening = False
         call.ended(outcome, None)
@@ -311,7 +128,7 @@
                 connection.count_off()
             if call.opening:
                 own = isinstance(fault, OSError) and fault.errno in OWN_FAULTS
-                self.not_connected(call, O.NOT_SENT if own else O.CONNECT_FAILED)
+                self.not_connected(call, api.Outcome.NOT_SENT if own else api.Outcome.CONNECT_FAILED)
             return
         if connection.closed or connection.transport.is_closing():
             connection.drop()
@@ -325,7 +142,7 @@
             # decided before must not reach it now, as a connection may take longer than the grace.
             self.rest(connection)
             if call.opening:
-                self.not_connected(call, O.NOT_SENT)
+                self.not_connected(call, api.Outcome.NOT_SENT)
 
     def rest(self, connection: Connection) -> None:
         """Keep the connection for the next call, unless its backend has moved on."""
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -10,7 +10,7 @@
 import pytest
 
 from honeywharf import interface as api
-from honeywharf.net import http1, upstream
+from honeywharf.net import backend as backend_module, http1, upstream
 from honeywharf.net.proxy import Call, Clock
 from honeywharf.net.upstream import Pool
 from tests.loopback import Backend, Client, Gate, read_message, reply, row, run, soon, until, world
@@ -437,7 +437,7 @@
 def test_an_answer_that_begins_and_does_not_end_leaves_time_for_another_attempt(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(upstream, "ANSWER_S", 0.05)
+    monkeypatch.setattr(backend_module, "ANSWER_S", 0.05)
 
     async def main() -> None:
         backend = await Backend().start()
@@ -496,7 +496,7 @@
 def test_a_backend_that_closes_idle_connections_soon_is_not_written_to_on_an_old_one(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(upstream, "IDLE_LEAST_MS", 20.0)
+    monkeypatch.setattr(backend_module, "IDLE_LEAST_MS", 20.0)
 
     async def main() -> None:
         backend = await Backend().start()
@@ -524,7 +524,7 @@
 
 def test_a_long_answer_in_pieces_is_passed_on_whole(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against good answers, longer than the protocol says, that failed their requests."""
-    monkeypatch.setattr(upstream, "ANSWER_S", 1.0)
+    monkeypatch.setattr(backend_module, "ANSWER_S", 1.0)
 
     async def main() -> None:
         backend = await Backend().start()
@@ -549,7 +549,7 @@
 
 def test_long_answers_are_bounded_together(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against running out of memory on answers that begin and do not end."""
-    monkeypatch.setattr(upstream, "ANSWERS_BYTES", 300_000)
+    monkeypatch.setattr(backend_module, "ANSWERS_BYTES", 300_000)
 
     async def main() -> None:
         backend = await Backend().start()
