Dial a further connection beside one that is late, and let calls wait for any

Each attempt waited for the one connection that it had dialled. Ruled out: load at the backends, as answers on new connections take 10 ms more, not 100; refused connections, 3 of 1242.

At fault: Pool.start and Pool._open in net/upstream.py, which tied one call to one dial.

Change: calls wait at their backend; as many connections come up in time as calls wait; one that is late (four times the lower quartile of this proxy's connect times, 10 ms at least) does not count, so that a further one is dialled. Each late one in a row doubles that patience; the bound on connections holds. Whichever comes up first, or is freed, carries the oldest call, once; the others are kept. A drain, a move or an end of the backend ends what waits at once.

--- a/honeywharf/net/backend.py
+++ b/honeywharf/net/backend.py
@@ -62,6 +62,19 @@
     open_for_work: bool = True  # else its connections are not kept
     idle_ms: float = float("inf")  # what it was seen to close idle connections after, less a margin
     idle: deque[Connection] = field(default_factory=deque)  # the last used at the right
+    waiting: dict[Call, asyncio.TimerHandle] = field(default_factory=dict)  # the oldest first
+    settling: asyncio.TimerHandle | None = None  # while calls wait for a kept connection to settle
+    dials: set[Dial] = field(default_factory=set)
+    late_in_a_row: int = 0  # dials since one came up in time
+
+
+@dataclass(slots=True, eq=False)
+class Dial:
+    """A connection that is coming up."""
+
+    started_ms: float
+    late: bool = False
+    timer: asyncio.TimerHandle | None = None  # until it is late
 
 
 class Connection(asyncio.Protocol):
--- a/honeywharf/net/proxy.py
+++ b/honeywharf/net/proxy.py
@@ -78,7 +78,7 @@
 class Call:
     """Bytes on their way to a backend and back. The transport calls `ended` once, unless it is aborted."""
 
-    __slots__ = ("body", "connection", "endpoint", "head", "opening", "probe", "until_ms")
+    __slots__ = ("body", "connection", "endpoint", "head", "probe", "until_ms", "waiting")
 
     def __init__(
         self, endpoint: str, head: bytes, body: bytes, until_ms: float, *, probe: bool = False,
@@ -86,7 +86,7 @@
         self.endpoint, self.head, self.body = endpoint, head, body
         self.until_ms, self.probe = until_ms, probe
         self.connection: object = None
-        self.opening = False
+        self.waiting = False  # for a connection
 
     def wanted(self) -> bool:
         """Whether somebody still waits for it: asked just before its bytes leave."""
--- a/honeywharf/net/upstream.py
+++ b/honeywharf/net/upstream.py
@@ -6,9 +6,10 @@
 import errno
 
 from honeywharf import interface as api
-from honeywharf.net.backend import Backend, Connection
+from honeywharf.net.backend import Backend, Connection, Dial
 from honeywharf.net.config import Address
-from honeywharf.net.proxy import Call, Clock
+from honeywharf.net.connect_times import ConnectTimes
+from honeywharf.net.proxy import EARLY_MS, Call, Clock
 
 # A backend closes an idle connection at the latest after the time in the settings, counted from when it wrote
 # its last byte: a connection nearer to that than this is closed, as a request on it would end as a reset.
@@ -17,6 +18,7 @@
 # late, and it would be taken for the next request's. Costs a busy pool about one connection more.
 SETTLE_MS = 25.0
 SWEEP_S = 0.5
+MOST_DOUBLINGS = 10  # of the patience with a connection: far over any time-out by then
 OWN_FAULTS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
 
@@ -33,6 +35,8 @@
         self.count = 0  # connections open or opening
         self.handshakes = 0
         self.bytes_read = 0  # of answers that have begun and not ended
+        self.late = 0  # connections that did not come up in time
+        self.connect_times = ConnectTimes()
         self.tasks: set[asyncio.Task[None]] = set()
         loop.call_later(SWEEP_S, self._sweep)
 
@@ -48,7 +52,7 @@
             self.backends[endpoint] = known = Backend(address, started_ms, host.encode())
         known.open_for_work = open_for_work
         if not open_for_work:
-            self._close_idle(known)
+            self._retire(known)
 
     def forget(self, endpoint: str) -> None:
         """The endpoint is gone: nothing can be sent there any more."""
@@ -67,7 +71,9 @@
             self._close_idle(backend)
 
     def _retire(self, backend: Backend) -> None:
+        """Nothing more is sent there on the connections that it has, or that come up."""
         backend.open_for_work = False
+        self._fail_all_waiting(backend)
         self._close_idle(backend)
 
     def _close_idle(self, backend: Backend) -> None:
@@ -77,79 +83,170 @@
     # Calls.
 
     def start(self, call: Call) -> None:
-        """Put the call on the connection used last, of those that have settled, or on a new one."""
-        backend, now = self.backends[call.endpoint], self.clock.now()
-        oldest = now - min(self.idle_ms, backend.idle_ms)
-        for connection in [c for c in reversed(backend.idle) if c.answered_ms <= now - SETTLE_MS]:
-            backend.idle.remove(connection)
-            if (connection.idle_since > oldest and not connection.transport.is_closing()
-                    and not connection.stale()):
-                connection.carry(call)
-                return
-            connection.drop()
-        if self.count >= self.most and not self._make_room():
-            # Guards against blaming the backend for what this proxy lacks. Never from within `start`.
-            self.loop.call_soon(self.not_connected, call, api.Outcome.NOT_SENT)
+        """Put the call on a kept connection, or let it wait for the next one that is free."""
+        backend = self.backends[call.endpoint]
+        connection = self._take_kept(backend)
+        if connection is not None:
+            connection.carry(call)
             return
-        self.count += 1
-        self.handshakes += 1
-        call.opening = True
-        task = self.loop.create_task(self._open(call, backend))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        call.waiting = True
+        backend.waiting[call] = self.loop.call_later(
+            self.connect_timeout_s, self._waited_too_long, call, backend)
+        self._serve_when_settled(backend)
+        self._dial_for_waiting(backend)
 
     def abort(self, call: Call) -> None:
         """Give the call up: closing its connection is how the backend learns of it."""
         connection, call.connection = call.connection, None
-        call.opening = False  # a connection that is still to come up is kept for another call
-        if isinstance(connection, Connection):
+        if call.waiting:
+            self._stop_waiting(call, self.backends[call.endpoint])
+        elif isinstance(connection, Connection):
             connection.call = None
             connection.drop()
 
     def unsent(self, call: Call) -> bool:
         """Whether some of the call has not left yet: given up now, it never runs."""
         connection = call.connection
-        return call.opening or (isinstance(connection, Connection) and connection.unsent)
+        return call.waiting or (isinstance(connection, Connection) and connection.unsent)
 
-    def not_connected(self, call: Call, outcome: api.Outcome = api.Outcome.CONNECT_FAILED) -> None:
+    def not_connected(self, call: Call, outcome: api.Outcome) -> None:
         """Nothing of the call has left."""
-        call.opening = False
         call.ended(outcome, None)
 
-    async def _open(self, call: Call, backend: Backend) -> None:
-        """Open a connection for the call. What goes wrong here (no descriptor too) has sent nothing."""
+    def _take_kept(self, backend: Backend) -> Connection | None:
+        """The connection used last, of those that have settled and are still good."""
+        now = self.clock.now()
+        oldest = now - min(self.idle_ms, backend.idle_ms)
+        for connection in [c for c in reversed(backend.idle) if c.answered_ms <= now - SETTLE_MS]:
+            backend.idle.remove(connection)
+            if (connection.idle_since > oldest and not connection.transport.is_closing()
+                    and not connection.stale()):
+                return connection
+            connection.drop()
+        return None
+
+    # Calls that wait for a connection.
+
+    def _stop_waiting(self, call: Call, backend: Backend) -> None:
+        backend.waiting.pop(call).cancel()
+        call.waiting = False
+
+    def _fail_waiting(self, call: Call, backend: Backend, outcome: api.Outcome) -> None:
+        """End a call of which nothing has left. Its end never comes from within `start`."""
+        self._stop_waiting(call, backend)
+        self.loop.call_soon(self.not_connected, call, outcome)
+
+    def _fail_all_waiting(self, backend: Backend) -> None:
+        """Guards against calls that reach a backend past the grace: their connection may take longer."""
+        for call in list(backend.waiting):
+            self._fail_waiting(call, backend, api.Outcome.NOT_SENT)
+
+    def _fail_excess(self, backend: Backend, outcome: api.Outcome) -> None:
+        """End the oldest of the calls that are more than the connections coming up."""
+        while len(backend.waiting) > len(backend.dials):
+            self._fail_waiting(next(iter(backend.waiting)), backend, outcome)
+
+    def _waited_too_long(self, call: Call, backend: Backend) -> None:
+        self._fail_waiting(call, backend, api.Outcome.CONNECT_FAILED)
+
+    def _serve_waiting(self, backend: Backend) -> None:
+        """Put calls that wait on the connections that are free, the oldest first."""
+        while backend.waiting:
+            connection = self._take_kept(backend)
+            if connection is None:
+                self._serve_when_settled(backend)
+                return
+            call = next(iter(backend.waiting))
+            self._stop_waiting(call, backend)
+            connection.carry(call)
+
+    def _serve_when_settled(self, backend: Backend) -> None:
+        """Come back to the calls that wait once the next kept connection may be used again."""
+        if backend.idle and backend.settling is None:
+            due_ms = min(c.answered_ms for c in backend.idle) + SETTLE_MS + EARLY_MS
+            wait_s = max(0.0, due_ms - self.clock.now()) / 1000.0
+            backend.settling = self.loop.call_later(wait_s, self._settled, backend)
+
+    def _settled(self, backend: Backend) -> None:
+        backend.settling = None
+        self._serve_waiting(backend)
+
+    # Opening connections.
+
+    def _dial_for_waiting(self, backend: Backend) -> None:
+        """Keep as many connections coming up in time as calls wait.
+
+        One that is late does not count, so that a further one is dialled beside it; whichever comes up first
+        serves the call that has waited longest, and the others are kept.
+        """
+        while sum(not d.late for d in backend.dials) < len(backend.waiting):
+            spare = len(backend.dials) >= len(backend.waiting)
+            if self.count >= self.most and (spare or not self._make_room()):
+                # Guards against blaming the backend for what this proxy lacks.
+                self._fail_excess(backend, api.Outcome.NOT_SENT)
+                return
+            self._dial(backend)
+
+    def _dial(self, backend: Backend) -> None:
+        """Open one connection. Each late one doubles the patience with the next, until one is in time.
+
+        Guards against dialling a backend that does not answer, or is slow to, over and over.
+        """
+        self.count += 1
+        self.handshakes += 1
+        dial = Dial(self.clock.now())
+        backend.dials.add(dial)
+        patience_ms = self.connect_times.patience_ms() * 2.0 ** min(backend.late_in_a_row, MOST_DOUBLINGS)
+        if patience_ms < self.connect_timeout_s * 1000.0:
+            dial.timer = self.loop.call_later(patience_ms / 1000.0, self._is_late, dial, backend)
+        task = self.loop.create_task(self._open(dial, backend))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def _is_late(self, dial: Dial, backend: Backend) -> None:
+        dial.late = True
+        self.late += 1
+        backend.late_in_a_row += 1
+        self._serve_waiting(backend)
+        self._dial_for_waiting(backend)
+
+    async def _open(self, dial: Dial, backend: Backend) -> None:
+        """Open a connection. What goes wrong here (no descriptor too) has sent nothing."""
         connection = Connection(self, backend)
+        outcome = api.Outcome.CONNECT_FAILED
         try:
             async with asyncio.timeout(self.connect_timeout_s):
                 await self.loop.create_connection(lambda: connection, *backend.address)
         except (OSError, TimeoutError, ValueError) as fault:
+            if isinstance(fault, OSError) and fault.errno in OWN_FAULTS:
+                outcome = api.Outcome.NOT_SENT
             if not connection.closed:
                 # One that came up as its time ran out is lost too: guards against counting it off twice.
                 connection.count_off()
-            if call.opening:
-                own = isinstance(fault, OSError) and fault.errno in OWN_FAULTS
-                self.not_connected(call, api.Outcome.NOT_SENT if own else api.Outcome.CONNECT_FAILED)
-            return
+        backend.dials.discard(dial)
+        if dial.timer is not None:
+            dial.timer.cancel()
+        if outcome is not api.Outcome.NOT_SENT:
+            self.connect_times.add(self.clock.now() - dial.started_ms)
         if connection.closed or connection.transport.is_closing():
             connection.drop()
-            if call.opening:
-                self.not_connected(call)
-        elif call.opening and backend.open_for_work:
-            call.opening = False
-            connection.carry(call)
-        else:
-            # Given up in the meantime, or the backend began to drain, left, moved or started anew: what was
-            # decided before must not reach it now, as a connection may take longer than the grace.
-            self.rest(connection)
-            if call.opening:
-                self.not_connected(call, api.Outcome.NOT_SENT)
+            self._fail_excess(backend, outcome)
+            self._dial_for_waiting(backend)
+            return
+        if not dial.late:
+            backend.late_in_a_row = 0
+        self.rest(connection)
+        self._serve_waiting(backend)
 
     def rest(self, connection: Connection) -> None:
         """Keep the connection for the next call, unless its backend has moved on."""
         if not connection.backend.open_for_work:
             connection.drop()
             return
-        connection.backend.idle.append(connection)
+        backend = connection.backend
+        backend.idle.append(connection)
+        if backend.waiting:
+            self._serve_when_settled(backend)
 
     def dropped(self, connection: Connection) -> None:
         """A connection is closed."""
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -12,7 +12,8 @@
 
 from honeywharf import interface as api, wire
 from honeywharf.__main__ import Proxy
-from honeywharf.net import config
+from honeywharf.net import config, http1
+from honeywharf.net.proxy import Call
 
 T = TypeVar("T")
 WAIT_S = 20.0  # for what must happen; a test that waits so long has failed
@@ -233,6 +234,22 @@
         return await self.loop.create_connection(*args)
 
 
+class Ending(Call):
+    """A call that keeps what came of it."""
+
+    __slots__ = ("body_seen", "outcome", "outcomes")
+
+    def __init__(self, body: bytes) -> None:
+        super().__init__("b", b"POST /api HTTP/1.1\r\nContent-Length: %d\r\n" % len(body), body, 1e15)
+        self.outcomes: list[api.Outcome] = []
+        self.outcome = asyncio.Event()
+
+    def ended(self, outcome: api.Outcome, response: http1.Response | None) -> None:
+        self.outcomes.append(outcome)
+        self.body_seen = response.body if response is not None else b""
+        self.outcome.set()
+
+
 @asynccontextmanager
 async def world(rows: list[dict[str, Any]], **changes: Any) -> AsyncIterator[World]:
     """A running proxy that knows these backends and whose first watch has been answered with nothing new."""
--- /dev/null
+++ b/tests/test_dialing.py
@@ -0,0 +1,215 @@
+"""Connections that come up late or never, over real sockets: further ones are dialled beside them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from honeywharf import interface as api
+from honeywharf.net.connect_times import LATE_AFTER, LEAST_PATIENCE_MS, SAMPLES, ConnectTimes
+from honeywharf.net.proxy import Clock
+from honeywharf.net.upstream import Pool
+from tests.loopback import Backend, Client, Ending, reply, run, soon, until, world
+
+O = api.Outcome  # noqa: E741
+
+
+class Late:
+    """The loop, except that the connections with these numbers, from 0, come up only once they are let."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, *numbers: int) -> None:
+        self.loop, self.numbers, self.dialled = loop, numbers, 0
+        self.let = asyncio.Event()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+    async def create_connection(self, *args: Any) -> Any:
+        number, self.dialled = self.dialled, self.dialled + 1
+        if number in self.numbers:
+            await self.let.wait()
+        return await self.loop.create_connection(*args)
+
+
+def make_pool(backend: Backend, *late: int, most: int = 10, timeout_ms: float = 60000.0) -> tuple[Pool, Late]:
+    loop = Late(asyncio.get_running_loop(), *late)
+    limits = api.Limits(connect_timeout_ms=timeout_ms)
+    pool = Pool(loop, Clock(), limits, most)  # type: ignore[arg-type]
+    pool.name("b", ("127.0.0.1", backend.port), None, open_for_work=True)
+    return pool, loop
+
+
+def start(pool: Pool, *bodies: bytes) -> list[Ending]:
+    calls = [Ending(body) for body in bodies]
+    for call in calls:
+        pool.start(call)
+    return calls
+
+
+@pytest.mark.parametrize("late", [1, 2, 3])
+def test_a_call_leaves_on_a_further_connection_while_earlier_ones_are_late(late: int) -> None:
+    async def main() -> None:
+        backend = await Backend().start()
+        pool, loop = make_pool(backend, *range(late))
+        (call,) = start(pool, b"once")
+        await soon(call.outcome.wait())
+        assert (call.outcomes, loop.dialled, pool.late) == ([O.OK], late + 1, late)
+        loop.let.set()
+        await until(lambda: backend.connections == late + 1)
+        await until(lambda: len(pool.backends["b"].idle) == late + 1)
+        others = start(pool, *[b"%d" % i for i in range(late)])
+        for other in others:  # each on one of the connections that came up late
+            await soon(other.outcome.wait())
+        assert loop.dialled == late + 1
+        assert sorted(body for _, _, body in backend.requests) == sorted(
+            [b"once", *[b"%d" % i for i in range(late)]])
+        await backend.stop()
+    run(main())
+
+
+def test_a_backend_whose_first_connection_never_comes_up_serves_the_request() -> None:
+    async def main() -> None:
+        backend = await Backend().start()
+        async with world([backend.row("b")], bounds={"connectTimeoutMs": 60000.0}) as w:
+            w.proxy.pool.loop = Late(w.proxy.loop, 0)  # type: ignore[assignment]
+            client = await Client.to(w.port)
+            client.send("pay", b"x")
+            assert await client.status() == 200
+            assert [e.outcome for e in w.ended()] == [O.OK]
+            assert len(backend.requests) == 1
+        await backend.stop()
+    run(main())
+
+
+def test_a_backend_that_closes_after_each_answer_is_reached_past_late_connections() -> None:
+    async def main() -> None:
+        backend = await Backend().start()
+        backend.then = reply(200, b"x", b"Connection: close")
+        async with world([backend.row("b")], bounds={"connectTimeoutMs": 60000.0}) as w:
+            loop = Late(w.proxy.loop, 1, 3)
+            w.proxy.pool.loop = loop  # type: ignore[assignment]
+            client = await Client.to(w.port)
+            for _ in range(3):
+                client.send("pay", b"x")
+                assert await client.status() == 200
+            assert {e.outcome for e in w.ended()} == {O.OK}
+            assert (loop.dialled, len(backend.requests)) == (5, 3)
+        await backend.stop()
+    run(main())
+
+
+def test_a_call_that_waits_takes_a_connection_that_another_call_frees() -> None:
+    async def main() -> None:
+        backend = await Backend().start()
+        backend.script = [None]
+        pool, loop = make_pool(backend, 1, most=2)
+        first, second = start(pool, b"first", b"second")
+        await soon(backend.came.wait())
+        await until(lambda: pool.late == 1)
+        for writer in list(backend.writers):
+            writer.write(reply())
+        await soon(second.outcome.wait())
+        assert (first.outcomes, second.outcomes, loop.dialled) == ([O.OK], [O.OK], 2)
+        assert [body for _, _, body in backend.requests] == [b"first", b"second"]
+        await backend.stop()
+    run(main())
+
+
+def test_further_connections_keep_to_the_bound_and_close_no_idle_one() -> None:
+    async def main() -> None:
+        backend, other = await Backend().start(), await Backend().start()
+        pool, loop = make_pool(backend, 1, most=2)
+        pool.name("other", ("127.0.0.1", other.port), None, open_for_work=True)
+        kept = Ending(b"")
+        kept.endpoint = "other"
+        pool.start(kept)
+        await soon(kept.outcome.wait())
+        (call,) = start(pool, b"")
+        await until(lambda: pool.late == 1)
+        assert (loop.dialled, pool.count, len(pool.backends["other"].idle)) == (2, 2, 1)
+        loop.let.set()
+        await soon(call.outcome.wait())
+        assert call.outcomes == [O.OK]
+        await backend.stop()
+        await other.stop()
+    run(main())
+
+
+def test_a_backend_that_never_comes_up_is_dialled_ever_more_rarely() -> None:
+    async def main() -> None:
+        backend = await Backend().start()
+        pool, loop = make_pool(backend, *range(1000), timeout_ms=300.0)
+        (call,) = start(pool, b"")
+        await soon(call.outcome.wait())
+        assert call.outcomes == [O.CONNECT_FAILED]
+        assert 2 <= loop.dialled <= 6  # after 0, 10, 30, 70, 150 ms, and none waits that long again
+        before = loop.dialled
+        (call,) = start(pool, b"")
+        await soon(call.outcome.wait())
+        assert loop.dialled <= before + 2
+        loop.let.set()
+        await until(lambda: not pool.tasks)
+        (call,) = start(pool, b"")
+        await soon(call.outcome.wait())
+        assert (call.outcomes, pool.backends["b"].late_in_a_row) == ([O.OK], 0)
+        await backend.stop()
+    run(main())
+
+
+@pytest.mark.parametrize("change", ["drains", "leaves", "starts anew", "moves"])
+def test_a_change_of_the_backend_ends_what_waits_at_once(change: str) -> None:
+    """All connections are still coming up when the word comes, and nothing leaves on them later."""
+    async def main() -> None:
+        backend, other = await Backend().start(), await Backend().start()
+        pool, loop = make_pool(backend, *range(1000))
+        calls = start(pool, b"1", b"2")
+        await until(lambda: pool.late >= 3)
+        where = ("127.0.0.1", other.port if change == "moves" else backend.port)
+        if change == "leaves":
+            pool.forget("b")
+        else:
+            pool.name("b", where, 2.0 if change == "starts anew" else None, open_for_work=change != "drains")
+        for call in calls:
+            await soon(call.outcome.wait())
+            assert call.outcomes == [O.NOT_SENT]
+        loop.let.set()
+        await until(lambda: not pool.tasks)
+        await until(lambda: backend.closed == loop.dialled)
+        assert (pool.count, backend.requests, other.requests) == (0, [], [])
+        await backend.stop()
+        await other.stop()
+    run(main())
+
+
+def test_a_client_that_leaves_while_several_connections_come_up_has_nothing_sent_on() -> None:
+    async def main() -> None:
+        backend = await Backend().start()
+        async with world([backend.row("b")], bounds={"connectTimeoutMs": 60000.0}) as w:
+            loop = Late(w.proxy.loop, *range(1000))
+            w.proxy.pool.loop = loop  # type: ignore[assignment]
+            client = await Client.to(w.port)
+            client.send("pay", b"left")
+            await until(lambda: w.proxy.pool.late >= 2)
+            client.writer.close()
+            await until(lambda: w.ended() != [])
+            dialled = loop.dialled
+            loop.let.set()
+            await until(lambda: not w.proxy.pool.tasks)
+            assert [(e.outcome, e.request_over) for e in w.ended()] == [(O.NOT_SENT, True)]
+            assert (loop.dialled, len(w.proxy.pool.backends["b"].idle)) == (dialled, dialled)
+            assert backend.requests == []
+        await backend.stop()
+    run(main())
+
+
+def test_the_patience_follows_the_quicker_connections_and_survives_many_late_ones() -> None:
+    times = ConnectTimes()
+    assert times.patience_ms() == LEAST_PATIENCE_MS
+    for i in range(SAMPLES):
+        times.add(1000.0 if i % 3 else 0.2)  # two in three are late
+    assert times.patience_ms() == LEAST_PATIENCE_MS
+    for _ in range(SAMPLES):
+        times.add(30.0)  # all backends are slow to accept: that is how they are
+    assert times.patience_ms() == LATE_AFTER * 30.0
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -11,9 +11,9 @@
 
 from honeywharf import interface as api
 from honeywharf.net import backend as backend_module, http1, upstream
-from honeywharf.net.proxy import Call, Clock
+from honeywharf.net.proxy import Clock
 from honeywharf.net.upstream import Pool
-from tests.loopback import Backend, Client, Gate, read_message, reply, row, run, soon, until, world
+from tests.loopback import Backend, Client, Ending, Gate, read_message, reply, row, run, soon, until, world
 
 O = api.Outcome  # noqa: E741
 
@@ -133,22 +133,6 @@
     run(main())
 
 
-class Ending(Call):
-    """A call that keeps what came of it."""
-
-    __slots__ = ("body_seen", "outcome", "outcomes")
-
-    def __init__(self, body: bytes) -> None:
-        super().__init__("b", b"POST /api HTTP/1.1\r\nContent-Length: %d\r\n" % len(body), body, 1e15)
-        self.outcomes: list[api.Outcome] = []
-        self.outcome = asyncio.Event()
-
-    def ended(self, outcome: api.Outcome, response: http1.Response | None) -> None:
-        self.outcomes.append(outcome)
-        self.body_seen = response.body if response is not None else b""
-        self.outcome.set()
-
-
 @pytest.mark.parametrize("change", ["drains", "leaves", "starts anew", "moves"])
 def test_a_backend_that_changes_while_a_connection_comes_up_gets_nothing(change: str) -> None:
     """The change falls between the decision and the connection, every time: both come in one turn."""
