Split the decision module's state into modules of one concern each

honeywharf/brain.py keeps Balancer and the constants it uses. Moved out of it into the new package honeywharf/policy, each with the constants only it uses:

- server.py: Server
- concurrency.py: Zone, the concurrency limit, and WORTH_POWER, which Balancer imports from there
- quota.py: TenantQuota, the token bucket of a tenant (was Bucket)
- request.py: Attempt, Request and KeyQueue (was Line)

Only Bucket and Line are renamed.

No change of behaviour. The syntax trees of all classes and constants, less docstrings and renames, are equal too.

The tests are unchanged. The size and site-name checks in tests/test_invariants.py read brain.py alone, so they don't cover the moved code.

--- a/honeywharf/brain.py
+++ b/honeywharf/brain.py
@@ -2,7 +2,8 @@
 
 A call goes to a uniformly random usable server of the balancer's own zone, and to any zone only when the
 own zone has no usable server. The rest of this file says which servers are usable, and what happens to a
-request when an attempt fails. It reads top to bottom: state, list, choice, requests, outcomes, health.
+request when an attempt fails; the state that it keeps is in honeywharf/policy/. It reads top to bottom: list,
+choice, requests, outcomes, health.
 """
 
 from __future__ import annotations
@@ -10,9 +11,12 @@
 import heapq
 import random
 from collections import deque
-from dataclasses import dataclass, field
 
 from honeywharf import interface as api
+from honeywharf.policy.concurrency import WORTH_POWER, Zone
+from honeywharf.policy.quota import TenantQuota
+from honeywharf.policy.request import Attempt, KeyQueue, Request
+from honeywharf.policy.server import Server
 
 PICKS = 8  # random picks at a level before it counts as empty: finds a half-usable level 255 times in 256
 REVIEW_MS = 250.0  # how often slowly changing judgements are renewed: short against any trouble
@@ -41,167 +45,11 @@
 TARGET = 0.5  # of its aim that an answer may take before a zone counts as crowded; the rest is for chance
 # Calls that a server of which nothing is known may hold, for itself and each tier below: one in work and one
 FIRST_CALLS = 2.0  # that waits for it. With one alone a core idles whenever its call waits for anything else
-LEAST_PART = 0.25  # of its first value that a limit keeps: so few calls let any jam drain
-SLOW_START = 4.0  # how much faster a limit under its first value grows: that much is known to be safe
-SLIVER = 1.0  # call over the limit, by worth: a limit of about one turns a third away by chance alone
-ADAPT_MS = 500.0  # time in which answers late by once the ease would lower a limit e-fold: a round trip
-# How much slower a limit grows, and the part of it that must be in use. Guards against running away: answers
-GROWTH, IN_USE = 5.0, 0.8  # tell of a limit late, and what was let in by then jams servers for long
-FOLLOWS = 0.3  # of an answer, in that mean: single ones come late by chance, and lowering goes faster
-ANSWER_SPAN_MS = 250.0  # the longest time that one answer may speak for
 COLD_MARGIN = 3.0  # of the multiple that pushes a cold server over, a third: calls come by chance and differ
 RATE_OVER_MS = 5000.0  # over which the rate of answers is formed,
 RATE_ANSWERS = 20.0  # and over so many answers at least: by chance the highest is then a fifth too high
 RATE_KEPT_MS = 60000.0  # in which the highest fades: what a server could do is known when nothing answers
 OVER_SHARE_ROOM = 0.25  # part of a limit open to tenants over their share: the rest is kept for the others
-SHARE_BURST_MS = 5000.0  # of its share that a tenant may save: one balancer sees few of its calls
-WORTH_POWER = 0.4  # a request may use its worth over the mean request's, to this power, of a limit
-
-
-@dataclass(slots=True, eq=False)
-class Server:
-    """What this balancer knows of one listed endpoint."""
-
-    endpoint: api.Endpoint
-    calls: dict[Attempt, None] = field(default_factory=dict)  # out, the oldest first; not those that hang
-    silent: dict[str, float] = field(default_factory=dict)  # by class: until when it counts as absent
-    errors: dict[str, int] = field(default_factory=dict)  # by class, in a row
-    failures: int = 0  # in a row
-    ejections: int = 0
-    suspicion: float = 0.0
-    failing: float | None = None  # the part of its recent calls that failed; None before the first has ended
-    pace: float = 1.0
-    pauses: int = 0  # ejections in a row without a success
-    usable_at: float = 0.0  # ejected until then
-    cold: bool = False
-    next_ms: float = 0.0  # while it is cold: nothing is sent to it before
-    share: float = 1.0  # of the even share that it is given; under 1 while it warms up
-    capacity: float = 1.0  # its share, times its registered size over the mean one
-
-
-@dataclass(slots=True, eq=False)
-class Zone:
-    """How many calls of this balancer a zone may hold for each usable server, learned from late answers."""
-
-    in_flight: int = 0
-    limit: float = 0.0
-    first: float = 0.0
-    learned_ms: float = 0.0
-    lateness: float = 1.0  # the running mean of late answers
-    capacity: float = 0.0  # that of its usable servers
-    ready: int = 0
-    spare: int = 0  # usable servers, less two for each that is ejected
-
-    def has_room(self, part: float, odds: float, server: Server | None = None) -> bool:
-        """Whether one more call fits into the part of the limit that is open to it; a fraction by chance.
-
-        With a server: into its own part of that. Guards against calls that pile up on one server, or keep a
-        small one as busy as a large one, while its neighbours sit light. One that holds none is never passed
-        over: where many balancers share it its part is under one call, and the odds are the same for all.
-        """
-        if server is not None and not server.calls:
-            return True
-        calls = self.in_flight if server is None else len(server.calls)
-        capacity = self.capacity if server is None else server.capacity
-        sliver: float = SLIVER * part ** (1.0 / WORTH_POWER)
-        return calls + odds < self.limit * capacity * part + sliver
-
-    def learn(self, lateness: float, now: float) -> None:
-        """Move the limit by one answer, which took `lateness` times what a zone at ease takes at most.
-
-        The pace is by time, not by answers, so that balancers with much and with little traffic agree.
-        """
-        span = min(ANSWER_SPAN_MS, now - self.learned_ms) / ADAPT_MS
-        self.learned_ms = now
-        self.lateness += (min(lateness, 3.0) - self.lateness) * FOLLOWS
-        short = 1.0 - self.lateness
-        binds = self.in_flight > self.limit * self.capacity * IN_USE
-        if short < 0 or binds:  # a limit that does not bind has not been tried
-            if short > 0:
-                span /= GROWTH / SLOW_START if self.limit < self.first else GROWTH
-            self.limit = max(LEAST_PART * self.first, self.limit * (1.0 + max(-0.5, short * span)))
-
-
-@dataclass(slots=True, eq=False)
-class Bucket:
-    """A tenant's share at this balancer: an even part of its quota over all balancers."""
-
-    per_ms: float
-    tokens: float
-    filled_ms: float
-
-    def take(self, now: float) -> bool:
-        """Whether one more request is within the share."""
-        self.tokens = min(SHARE_BURST_MS * self.per_ms, self.tokens + (now - self.filled_ms) * self.per_ms)
-        self.filled_ms = now
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One attempt of a request. `ran` is False once it is proven never to have run."""
-
-    request: str
-    server: Server
-    zone: Zone
-    sent_ms: float
-    ejections: int  # of the server when it was sent
-    live: bool = True
-    ran: bool = True
-    counts: bool = True  # among the calls in flight of its zone
-    hangs: bool = False
-
-    def release(self) -> None:
-        """Take it off its zone's calls in flight, once: the figure stays the sum of the calls that count."""
-        if self.counts:
-            self.counts = False
-            self.zone.in_flight -= 1
-
-
-@dataclass(slots=True, eq=False)
-class Line:
-    """The requests of ordered classes that share a key, as they came: the first has the turn."""
-
-    held: deque[Request] = field(default_factory=deque)
-    rests_until: float = 0.0  # an attempt that may still run ended so short a time ago
-
-
-@dataclass(slots=True, eq=False)
-class Request:
-    """A request taken and not yet forgotten: it is kept until its last attempt has ended."""
-
-    id: str
-    cls: api.RequestClass
-    key: str  # of its line; empty where no order is asked
-    deadline: float
-    worth: float
-    room: float = 1.0  # part of a zone's limit that is open to it
-    attempts: list[Attempt] = field(default_factory=list)
-    answered: bool = False
-
-    def may_have_run(self) -> Attempt | None:
-        """The first attempt that is not proven never to have run."""
-        return next((a for a in self.attempts if a.ran), None)
-
-    def may_send_to(self, endpoint: api.Endpoint, now: float) -> bool:
-        """Whether a further attempt there could not have an effect twice."""
-        first, cls = self.may_have_run(), self.cls
-        if first is None or cls.effect is api.Effect.REPEATABLE:
-            return True
-        if cls.effect is api.Effect.ONCE or now >= first.sent_ms + cls.window_ms:
-            return False
-        held = first.server.endpoint
-        return (cls.scope is api.DedupeScope.ALL or held.zone == endpoint.zone) and (
-            cls.scope is not api.DedupeScope.CELL or held.cell == endpoint.cell)
-
-    def may_refuse(self) -> bool:
-        """Whether a refusal, which tells the client that a repeat is harmless, would be true."""
-        cls = self.cls
-        return cls.effect is api.Effect.REPEATABLE or self.may_have_run() is None or (
-            cls.effect is api.Effect.KEYED and cls.scope is api.DedupeScope.ALL)
 
 
 class Balancer:
@@ -213,13 +61,13 @@
         self.classes = {c.name: c for c in settings.classes}
         self.servers: dict[str, Server] = {}
         self.requests: dict[str, Request] = {}
-        self.lines: dict[str, Line] = {}  # by key: one key space over all ordered classes
+        self.lines: dict[str, KeyQueue] = {}  # by key: one key space over all ordered classes
         self.rests: deque[tuple[float, str]] = deque()  # when keys have rested: all rest equally long
         self.turns: deque[str] = deque()  # keys whose first request may have the turn now
         self.waiting: list[tuple[float, str]] = []  # a heap: deadlines of requests that wait for their turn
         self.tenants = {t.name: t for t in settings.tenants}
         self.zones: dict[str, Zone] = {}
-        self.buckets: dict[str, Bucket] = {}
+        self.buckets: dict[str, TenantQuota] = {}
         self.typical_ms: dict[str, float] = {}
         self.heard: dict[str, int] = {}  # answers that the typical time is the mean of
         self.mean_worth = max(c.worth for c in settings.classes) or 1.0
@@ -427,7 +275,7 @@
 
     def _line_up(self, request: Request) -> None:
         """Keep order: one request of a key at a time; the others wait, each to its own deadline."""
-        line = self.lines.setdefault(request.key, Line())
+        line = self.lines.setdefault(request.key, KeyQueue())
         line.held.append(request)
         if line.held[0] is request and line.rests_until <= self.now:
             self._attempt(request)
@@ -451,7 +299,7 @@
         bucket = self.buckets.get(tenant)
         if bucket is None and tenant in self.tenants:
             quota = self.tenants[tenant].quota_per_s / self.settings.balancers
-            bucket = self.buckets[tenant] = Bucket(quota / 1000.0, quota, self.now)
+            bucket = self.buckets[tenant] = TenantQuota(quota / 1000.0, quota, self.now)
         if bucket is not None and not bucket.take(self.now):
             request.worth *= self.settings.over_share_worth
             request.room *= OVER_SHARE_ROOM
