--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -7,8 +7,10 @@
 import re
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
 
+import pytest
 from hypothesis import given, settings, strategies as st
 
 from honeywharf import interface as api
@@ -151,14 +153,25 @@
     assert [z.in_flight for z in balancer.zones.values()] == [0] * len(balancer.zones)
 
 
+POLICY = [ROOT / name for name in tomllib.loads(
+    (ROOT / "deploy" / "balancer.toml").read_text())["policy"]]
+
+
 def test_the_module_keeps_its_size() -> None:
-    lines = (ROOT / "honeywharf" / "brain.py").read_text().splitlines()
-    assert sum(bool(line.strip()) for line in lines) <= 600
-    assert max(map(len, lines)) <= 110
-    assert "honeywharf/interface.py" in "\n".join(lines[:3])
+    texts = {path: path.read_text().splitlines() for path in POLICY}
+    sizes = {path: sum(bool(line.strip()) for line in lines) for path, lines in texts.items()}
+    assert all(size <= 600 for size in sizes.values())
+    assert sum(sizes.values()) <= 1200
+    assert max(len(line) for lines in texts.values() for line in lines) <= 110
+    assert "honeywharf/interface.py" in "\n".join(texts[ROOT / "honeywharf" / "brain.py"][:3])
+
+
+def test_the_deploy_file_names_all_of_the_module() -> None:
+    assert set(POLICY) == {ROOT / "honeywharf" / "brain.py", *(ROOT / "honeywharf" / "policy").glob("*.py")}
 
 
-def test_the_module_names_no_site() -> None:
-    text = (ROOT / "honeywharf" / "brain.py").read_text().lower()
+@pytest.mark.parametrize("path", POLICY, ids=lambda path: path.name)
+def test_the_module_names_no_site(path: Path) -> None:
+    text = path.read_text().lower()
     for word in ("zagreb", "tallinn", "tbilisi", "obrazac", "tile", "quote", "uni-labs", "front"):
         assert not re.search(rf"\b{word}\b", text)
