End the sending side of a connection that is given up with part of a request unwritten

Seen: read while the broken 'duplicate' of push-depot was traced, then shown by a test: an attempt of which part had not left was given up as never run, and the event loop's last try to write as it closes the connection still delivered all 20000 bytes of the body.

At fault: Connection.drop in net/backend.py, which left the unwritten rest to transport.abort(). Now the sending side is shut down first. The new test fails without it (20000 of 20000 bytes arrive).

--- a/honeywharf/net/backend.py
+++ b/honeywharf/net/backend.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import select
+import socket
 from collections import deque
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Protocol, cast
 
@@ -213,8 +216,18 @@
         """Close at once; what was not written stays unwritten."""
         if not self.closed:
             self.count_off()
+            if self.unsent and not self.transport.is_closing():
+                self._end_sending()
             self.transport.abort()
 
+    def _end_sending(self) -> None:
+        """Guards against the rest of a request that leaves as the connection closes.
+
+        The loop tries once more to write what it holds then, and the call counts as one that never ran.
+        """
+        with socket.socket(fileno=os.dup(self.descriptor)) as same, suppress(OSError):
+            same.shutdown(socket.SHUT_RDWR)  # an error: the backend has ended the connection already
+
     def count_off(self) -> None:
         """Leave the pool, once; nothing that still comes is looked at."""
         self.closed = True
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import socket
+from contextlib import suppress
 from typing import Any
 
 import pytest
@@ -181,6 +182,59 @@
     run(main())
 
 
+class SmallBuffers:
+    """The loop, except that new connections have a small send buffer."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+    async def create_connection(self, factory: Any, host: str, port: int) -> Any:
+        small = socket.socket()
+        small.setblocking(False)
+        small.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+        await self.loop.sock_connect(small, (host, port))
+        return await self.loop.create_connection(factory, sock=small)
+
+
+def test_what_is_given_up_half_written_never_arrives_whole() -> None:
+    """Guards against a request told as never run whose rest the system still sends as it is closed."""
+    async def main() -> None:
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            listener.setblocking(False)
+            loop = asyncio.get_running_loop()
+            small = SmallBuffers(loop)
+            pool = Pool(small, Clock(), api.Limits(connect_timeout_ms=2000.0), 10)  # type: ignore[arg-type]
+            pool.name("b", listener.getsockname(), None, open_for_work=True)
+            call = Ending(b"x" * 20_000)
+            pool.start(call)
+            peer, _ = await soon(loop.sock_accept(listener))
+            await until(lambda: call.connection is not None)
+            assert pool.unsent(call)
+            peer.setblocking(True)
+            peer.settimeout(0.2)
+            came = b""
+            with suppress(TimeoutError):  # the loop stands still: what it has not written waits
+                while data := peer.recv(65536):
+                    came += data
+            assert pool.unsent(call)
+            pool.abort(call)
+            await asyncio.sleep(0)
+            peer.setblocking(False)
+            with suppress(ConnectionError):
+                while data := await soon(loop.sock_recv(peer, 65536)):
+                    came += data
+            peer.close()
+            assert 0 < len(came.partition(b"\r\n\r\n")[2]) < 20_000
+            await until(lambda: pool.count == 0)
+    run(main())
+
+
 def test_a_backend_that_says_nothing_times_out_and_its_connection_closes() -> None:
     async def main() -> None:
         backend = await Backend().start()
