Hold the window of a keyed repeat when it leaves, not when it is decided

Change: a Send says within which time it has to leave; the driver asks again when the bytes are written, and what would be late ends as NOT_SENT. AttemptEnded.waited_ms tells the module when an attempt left, and the window runs from then. Replaces a test of the margin by tests of the time given and, over real connections, of a repeat whose connection comes up after the window.

--- a/honeywharf/brain.py
+++ b/honeywharf/brain.py
@@ -230,9 +230,7 @@
     def _pick(self, level: list[Server], depth: int, request: Request, chance: float) -> Server | None:
         """A few even picks; what is not usable, or has no room, is passed over."""
         if request.may_have_run() is not None:  # a retry that may only go to some servers
-            # Guards against a repeat that leaves after its window, as its connection took so long to come up.
-            latest = self.now + self.settings.limits.connect_timeout_ms
-            level = [s for s in level if request.may_send_to(s.endpoint, latest)]
+            level = [s for s in level if request.may_send_to(s.endpoint, self.now)]
         tried = request.attempts[-1].server if request.attempts else None
         sheds = self.settings.tier == 0  # deeper down the last level takes what no server has room for
         for _ in range(PICKS if level else 0):
@@ -316,13 +314,15 @@
 
     def _send(self, request: Request, server: Server) -> None:
         zone = self.zones[server.endpoint.zone]
-        attempt = Attempt(request.id, server, zone, self.now, server.ejections)
+        leave_within_ms = request.latest_repeat() - self.now
+        attempt = Attempt(request.id, server, zone, self.now, self.now, server.ejections)
         request.attempts.append(attempt)
         server.calls[attempt] = None
         zone.in_flight += 1
         if server.cold:
             self._space(server, 0.5, 1.5)
-        self.actions.append(api.Send(request.id, server.endpoint.id, request.deadline - self.now))
+        self.actions.append(api.Send(
+            request.id, server.endpoint.id, request.deadline - self.now, leave_within_ms))
 
     def _give_up(self, request: Request) -> None:
         if request.may_refuse():
@@ -351,6 +351,7 @@
         if not attempt.live:
             return
         attempt.live, attempt.ran = False, event.outcome not in api.NEVER_RAN
+        attempt.left_ms = attempt.sent_ms + event.waited_ms
         attempt.server.calls.pop(attempt, None)
         attempt.release()
         if attempt.ejections == attempt.server.ejections and not attempt.hangs:  # else this is old news
--- a/honeywharf/interface.py
+++ b/honeywharf/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -307,7 +308,10 @@
 
 @dataclass(slots=True, frozen=True)
 class AttemptEnded:
-    """An attempt's one outcome. `request_over`: no final answer is owed any more."""
+    """An attempt's one outcome. `request_over`: no final answer is owed any more.
+
+    `waited_ms`: the part of `elapsed_ms` that had passed when its bytes left; all of it where none did.
+    """
 
     request: str
     attempt: int
@@ -316,6 +320,7 @@
     request_over: bool = False
     report: tuple[float, ...] | None = None
     endpoint: str = ""
+    waited_ms: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -361,11 +366,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Send:
-    """Start the request's next attempt (they count from 0) at an endpoint; 0: until the client gives up."""
+    """Start the request's next attempt (they count from 0) at an endpoint.
+
+    `timeout_ms` bounds the whole attempt, 0: until the client gives up. `leave_within_ms` bounds the time
+    until its bytes leave, as it may wait for a connection: later it must not leave, and ends as NOT_SENT.
+    """
 
     request: str
     endpoint: str
     timeout_ms: float
+    leave_within_ms: float = math.inf
 
 
 @dataclass(slots=True, frozen=True)
--- a/honeywharf/net/backend.py
+++ b/honeywharf/net/backend.py
@@ -116,14 +116,15 @@
         self.unsent = False
 
     def carry(self, call: Call) -> None:
-        """Write the whole request, in one write, if somebody still waits for it."""
+        """Write the whole request, in one write, if it may still leave."""
         if not call.wanted():
             self.pool.rest(self)
             # Its end never comes from within `start`.
             self.pool.loop.call_soon(self.pool.not_connected, call, O.NOT_SENT)
             return
         self.call, call.connection = call, self
-        left = b"" if call.probe else http1.time_left(call.until_ms - self.pool.clock.now())
+        call.left_ms = now = self.pool.clock.now()
+        left = b"" if call.probe else http1.time_left(call.until_ms - now)
         host = b"Host: %b\r\n" % self.backend.host if call.probe else b""
         self.transport.write(b"%b%b%b\r\n%b" % (call.head, host, left, call.body))
         if self.transport.is_closing():
--- a/honeywharf/net/proxy.py
+++ b/honeywharf/net/proxy.py
@@ -78,7 +78,7 @@
 class Call:
     """Bytes on their way to a backend and back. The transport calls `ended` once, unless it is aborted."""
 
-    __slots__ = ("body", "connection", "endpoint", "head", "probe", "until_ms", "waiting")
+    __slots__ = ("body", "connection", "endpoint", "head", "left_ms", "probe", "until_ms", "waiting")
 
     def __init__(
         self, endpoint: str, head: bytes, body: bytes, until_ms: float, *, probe: bool = False,
@@ -87,9 +87,10 @@
         self.until_ms, self.probe = until_ms, probe
         self.connection: object = None
         self.waiting = False  # for a connection
+        self.left_ms: float | None = None  # when its bytes were written; None before that
 
     def wanted(self) -> bool:
-        """Whether somebody still waits for it: asked just before its bytes leave."""
+        """Whether it may still leave: asked just before its bytes are written."""
         return True
 
     def ended(self, outcome: api.Outcome, response: http1.Response | None) -> None:
@@ -144,20 +145,26 @@
 class Attempt(Call):
     """One attempt of a request."""
 
-    __slots__ = ("__weakref__", "driver", "held", "live", "number", "sent_ms", "timer")
+    __slots__ = ("__weakref__", "driver", "held", "leave_by_ms", "live", "number", "sent_ms", "timer")
 
-    def __init__(self, driver: Driver, held: Held, endpoint: str, now: float, until_ms: float) -> None:
+    def __init__(
+        self, driver: Driver, held: Held, endpoint: str, now: float, until_ms: float, leave_by_ms: float,
+    ) -> None:
         super().__init__(endpoint, held.head, held.request.body, until_ms)
         self.driver, self.held, self.number, self.sent_ms = driver, held, len(held.attempts), now
+        self.leave_by_ms = leave_by_ms
         self.live = True
         self.timer: Timer | None = None
 
     def wanted(self) -> bool:
-        """Whether its client is still there.
+        """Whether its client is still there, and the time in which it may leave has not run out.
 
         Guards against attempts that leave after their client has: its close may wait in the system, unread,
-        behind a busy loop, a pipelined request, or the outcome that this attempt follows on.
+        behind a busy loop, a pipelined request, or the outcome that this attempt follows on. And against
+        repeats that leave after the window in which backends drop them, as their connection came up late.
         """
+        if self.driver.clock.now() > self.leave_by_ms:
+            return False
         if not self.held.over and self.held.caller.gone():
             self.driver.gone(self.held.request)
         return not self.held.over
@@ -286,6 +293,7 @@
         self._feed(api.AttemptEnded(
             held.request.id, attempt.number, outcome, now - attempt.sent_ms, held.over,
             self._report(response.load) if response is not None else None, attempt.endpoint,
+            (now if attempt.left_ms is None else attempt.left_ms) - attempt.sent_ms,
         ), held)
 
     def probe_ended(self, probe: Probe, outcome: api.Outcome, response: http1.Response | None) -> None:
@@ -417,7 +425,7 @@
             ), held)
             held.attempts.append(None)
             return
-        attempt = Attempt(self, held, action.endpoint, now, until)
+        attempt = Attempt(self, held, action.endpoint, now, until, now + action.leave_within_ms)
         held.attempts.append(attempt)
         held.live += 1
         if until < held.deadline_ms - EARLY_MS:  # else the request's own timer ends it
--- a/honeywharf/policy/request.py
+++ b/honeywharf/policy/request.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -25,6 +26,7 @@
     server: Server
     zone: Zone
     sent_ms: float
+    left_ms: float  # when its bytes left, as far as is known
     ejections: int  # of the server when it was sent
     live: bool = True
     ran: bool = True
@@ -68,12 +70,19 @@
         first, cls = self.may_have_run(), self.cls
         if first is None or cls.effect is api.Effect.REPEATABLE:
             return True
-        if cls.effect is api.Effect.ONCE or now >= first.sent_ms + cls.window_ms:
+        if cls.effect is api.Effect.ONCE or now >= first.left_ms + cls.window_ms:
             return False
         held = first.server.endpoint
         return (cls.scope is api.DedupeScope.ALL or held.zone == endpoint.zone) and (
             cls.scope is not api.DedupeScope.CELL or held.cell == endpoint.cell)
 
+    def latest_repeat(self) -> float:
+        """Until when a further attempt may leave without the risk of an effect twice."""
+        first = self.may_have_run()
+        if first is None or self.cls.effect is not api.Effect.KEYED:
+            return math.inf
+        return first.left_ms + self.cls.window_ms
+
     def may_refuse(self) -> bool:
         """Whether a refusal, which tells the client that a repeat is harmless, would be true."""
         cls = self.cls
--- a/tests/test_dialing.py
+++ b/tests/test_dialing.py
@@ -204,6 +204,35 @@
     run(main())
 
 
+@pytest.mark.parametrize("late", [True, False])
+def test_a_keyed_repeat_whose_connection_outlasts_the_window_does_not_leave(late: bool) -> None:
+    """Guards against an effect twice: backends drop repeats within the window alone."""
+    window_ms = 150.0
+    order = {"name": "order", "aimMs": 2000.0, "deadlineMs": 5000.0, "idempotency": "by_key",
+             "group": "all", "windowMs": window_ms}
+
+    async def main() -> None:
+        backend = await Backend().start()
+        backend.script = [reply(500, b"x", b"Connection: close")]
+        async with world([backend.row("b")], bounds={"connectTimeoutMs": 60000.0}, profiles=[order]) as w:
+            loop = Late(w.proxy.loop, *range(1, 1000)) if late else Late(w.proxy.loop)
+            w.proxy.pool.loop = loop  # type: ignore[assignment]
+            client = await Client.to(w.port)
+            client.send("order", b"x")
+            first = await w.outcome(1)
+            ended_ms = w.proxy.clock.now()
+            if late:
+                await until(lambda: w.proxy.clock.now() > ended_ms + window_ms)
+                loop.let.set()
+            assert await client.status() == (503 if late else 200)
+            second = await w.outcome(2)
+            assert first.outcome is O.ERROR
+            assert second.outcome is (O.NOT_SENT if late else O.OK)
+            assert len(backend.requests) == (1 if late else 2)
+        await backend.stop()
+    run(main())
+
+
 def test_the_patience_follows_the_quicker_connections_and_survives_many_late_ones() -> None:
     times = ConnectTimes()
     assert times.patience_ms() == LEAST_PATIENCE_MS
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -180,12 +180,14 @@
 def test_a_200_is_passed_on_at_once_and_concludes_the_request(bench: Bench) -> None:
     bench.script.on = send_each
     _, caller = bench.arrive()
-    bench.clock.ms += 40.0
+    bench.clock.ms += 15.0
+    bench.transport.started[0].left_ms = bench.clock.ms
+    bench.clock.ms += 25.0
     bench.transport.started[0].ended(O.OK, ok())
     assert caller.answers == [(200, b"tile", 0.0)]
     bench.loop.turn()
     (event,) = bench.events(api.AttemptEnded)
-    assert event == api.AttemptEnded("r1", 0, O.OK, 40.0, True, None, "b1")
+    assert event == api.AttemptEnded("r1", 0, O.OK, 40.0, True, None, "b1", waited_ms=15.0)
     assert bench.driver.requests == {}
     assert bench.driver.open == 0
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import replace
 from typing import Any
@@ -47,16 +48,17 @@
     assert cells[only_send(driver.end(outcome)).endpoint] == cells[first]
 
 
-@pytest.mark.parametrize(("after_ms", "again"), [(1000.0, True), (1200.0, False)])
-def test_a_keyed_repeat_leaves_within_its_window_however_late_its_connection(
-    after_ms: float, again: bool,
+@pytest.mark.parametrize(("after_ms", "waited_ms", "left_ms"), [
+    (1000.0, 0.0, 500.0), (1499.0, 0.0, 1.0), (1499.0, 300.0, 301.0), (1500.0, 1.0, 1.0),
+])
+def test_a_keyed_repeat_may_leave_until_its_window_ends_from_when_the_first_left(
+    after_ms: float, waited_ms: float, left_ms: float,
 ) -> None:
-    limits = api.Limits(max_attempts=3, connect_timeout_ms=400.0)
-    driver = Driver(make_settings(limits=limits))
+    driver = Driver()
     driver.list([endpoint("a0"), endpoint("a1")])
-    driver.request("keyed")
-    (action,) = driver.end(O.RESET, after_ms=after_ms)
-    assert isinstance(action, api.Send if again else api.Fail)
+    assert only_send(driver.request("keyed")).leave_within_ms == math.inf
+    repeat = only_send(driver.end(O.RESET, after_ms=after_ms, waited_ms=waited_ms))
+    assert repeat.leave_within_ms == left_ms
 
 
 def test_a_keyed_repeat_past_its_window_fails() -> None:
