Tell a call whose time runs out before it has left as never sent, not as timed out

Seen in the code while the dialling was mended: a call that still waits for its connection at the client's deadline ended as TIMEOUT, which may have run: a request that may run once was answered as failed where it could be refused, and its server was suspected. At fault: Driver._time_out. Now it ends as NOT_SENT; a test over real connections, where none comes up, fails without it (502 in place of 503).

--- a/honeywharf/net/proxy.py
+++ b/honeywharf/net/proxy.py
@@ -327,10 +327,14 @@
             self._feed(api.RequestExpired(held.request.id), held)
 
     def _time_out(self, attempt: Attempt) -> None:
-        """Nothing came in time. Guards against a vanished machine, which says nothing ever."""
+        """Nothing came in time. Guards against a vanished machine, which says nothing ever.
+
+        What has not left by then never runs: it waited for a connection, or the backend did not read it.
+        """
         if attempt.live:
+            outcome = api.Outcome.NOT_SENT if self.transport.unsent(attempt) else api.Outcome.TIMEOUT
             self.transport.abort(attempt)
-            self.attempt_ended(attempt, api.Outcome.TIMEOUT, None)
+            self.attempt_ended(attempt, outcome, None)
 
     def _probe_time_out(self, probe: Probe) -> None:
         if probe.live:
--- a/tests/test_dialing.py
+++ b/tests/test_dialing.py
@@ -204,6 +204,25 @@
     run(main())
 
 
+def test_a_call_whose_time_runs_out_before_it_left_has_run_nothing() -> None:
+    """Guards against failing, and blaming a backend for, a request that could have been refused."""
+    async def main() -> None:
+        backend = await Backend().start()
+        async with world([backend.row("b")], bounds={"connectTimeoutMs": 60000.0}) as w:
+            loop = Late(w.proxy.loop, *range(1000))
+            w.proxy.pool.loop = loop  # type: ignore[assignment]
+            client = await Client.to(w.port)
+            client.send("pay", b"x", "200m")
+            assert await client.status() == 503
+            assert {e.outcome for e in w.ended()} == {O.NOT_SENT}
+            assert w.ended()[0].waited_ms == w.ended()[0].elapsed_ms
+            loop.let.set()
+            await until(lambda: not w.proxy.pool.tasks)
+            assert backend.requests == []
+        await backend.stop()
+    run(main())
+
+
 @pytest.mark.parametrize("late", [True, False])
 def test_a_keyed_repeat_whose_connection_outlasts_the_window_does_not_leave(late: bool) -> None:
     """Guards against an effect twice: backends drop repeats within the window alone."""
