Tell a refused connection from one that does not come up, and eject for the latter with care

At fault: Balancer._judge, which knew one outcome for both. Change: Outcome.CONNECT_TIMEOUT; it counts as one failure and ejects only where servers can be spared. A refused connection stays what it was.

--- a/honeywharf/brain.py
+++ b/honeywharf/brain.py
@@ -40,7 +40,8 @@
 RETRY_BURST = 5.0  # retries a quiet balancer may make at once
 REJECTED_COST = 0.25  # of a retry: turned away unseen is little load; giving up wastes the tiers above
 #: What never left for a server, or never reached it: no load, and no word of how the server does.
-UNREACHED = frozenset({api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT, api.Outcome.CANCELLED})
+UNREACHED = frozenset({
+    api.Outcome.CONNECT_FAILED, api.Outcome.CONNECT_TIMEOUT, api.Outcome.NOT_SENT, api.Outcome.CANCELLED})
 COME_BACK_MS = (200.0, 600.0)  # in which a refused client may come back: a jam's answers take about that long
 TARGET = 0.5  # of its aim that an answer may take before a zone counts as crowded; the rest is for chance
 # Calls that a server of which nothing is known may hold, for itself and each tier below: one in work and one
@@ -459,6 +460,7 @@
                 # Guards against a server that answers none of a class, or with errors: trial calls of one
                 # that it serves would bring it back for all. One alone may be a connection fallen silent.
                 server.silent[request.cls.name] = self.now + SILENT_MS * self.random.uniform(0.75, 1.25)
+            # A refused connection shows a dead process; one that did not come up in time may be chance.
             server.failures += 2 if event.outcome is api.Outcome.CONNECT_FAILED else 1
         if event.outcome is api.Outcome.REJECTED:
             # Guards against filling each slot of a jammed server at the moment it frees.
--- a/honeywharf/interface.py
+++ b/honeywharf/interface.py
@@ -68,14 +68,16 @@
     ERROR = "error"
     REJECTED = "rejected"
     TIMEOUT = "timeout"
-    CONNECT_FAILED = "connect failed"
+    CONNECT_FAILED = "connect failed"  # refused, or broken before the last byte left
+    CONNECT_TIMEOUT = "connect timeout"  # no connection came up in time
     RESET = "reset"
     CANCELLED = "cancelled"
     NOT_SENT = "not sent"
 
 
 #: Outcomes that prove the attempt did not run.
-NEVER_RAN = frozenset({Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT})
+NEVER_RAN = frozenset({
+    Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.CONNECT_TIMEOUT, Outcome.NOT_SENT})
 #: Outcomes after which the attempt may still be at work.
 STILL_RUNS = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED})
 
--- a/honeywharf/net/upstream.py
+++ b/honeywharf/net/upstream.py
@@ -147,7 +147,7 @@
             self._fail_waiting(next(iter(backend.waiting)), backend, outcome)
 
     def _waited_too_long(self, call: Call, backend: Backend) -> None:
-        self._fail_waiting(call, backend, api.Outcome.CONNECT_FAILED)
+        self._fail_waiting(call, backend, api.Outcome.CONNECT_TIMEOUT)
 
     def _serve_waiting(self, backend: Backend) -> None:
         """Put calls that wait on the connections that are free, the oldest first."""
@@ -218,7 +218,9 @@
             async with asyncio.timeout(self.connect_timeout_s):
                 await self.loop.create_connection(lambda: connection, *backend.address)
         except (OSError, TimeoutError, ValueError) as fault:
-            if isinstance(fault, OSError) and fault.errno in OWN_FAULTS:
+            if isinstance(fault, TimeoutError):
+                outcome = api.Outcome.CONNECT_TIMEOUT
+            elif isinstance(fault, OSError) and fault.errno in OWN_FAULTS:
                 outcome = api.Outcome.NOT_SENT
             if not connection.closed:
                 # One that came up as its time ran out is lost too: guards against counting it off twice.
