Learn load from the time after a call left, not from its wait for a connection

Seen: the wait for a late connection was part of elapsed_ms, so that the zone's limit, the typical time and the server's pace learned it as load. At fault: Balancer._teach and _judge. They now use the time since the bytes left.

Kept, as a wait that the proxy can cause itself is no sign of a crowded zone; a test fails without it.

--- a/honeywharf/brain.py
+++ b/honeywharf/brain.py
@@ -376,7 +376,7 @@
         cls = request.cls
         # The aim alone says what is late: the best times seen lie far under the ordinary ones.
         rejected = event.outcome is api.Outcome.REJECTED
-        lateness = 3.0 if rejected else event.elapsed_ms / (TARGET * cls.aim_ms)
+        lateness = 3.0 if rejected else event.served_ms / (TARGET * cls.aim_ms)
         # Guards against taking what failed early (a refused connection, a fault, little time left) for a zone
         # at ease: only an answer shows ease, the rest at most that it came so late.
         if event.outcome is api.Outcome.OK or (event.outcome not in UNREACHED and lateness > 1.0):
@@ -440,11 +440,11 @@
             known = failed if server.failing is None else server.failing
             server.failing = known + (failed - known) / FAILING_OVER
         if event.outcome is api.Outcome.OK:
-            typical = self.typical_ms.get(request.cls.name, event.elapsed_ms)
-            pace = min(event.elapsed_ms / max(typical, 1.0), STRAIN_MOST + SLOW_FROM)
+            typical = self.typical_ms.get(request.cls.name, event.served_ms)
+            pace = min(event.served_ms / max(typical, 1.0), STRAIN_MOST + SLOW_FROM)
             server.pace += (pace - server.pace) / PACE_OVER
             strain = pace - SLOW_FROM
-            self._time(request.cls.name, typical, event.elapsed_ms)
+            self._time(request.cls.name, typical, event.served_ms)
             server.failures = 0
             server.silent.pop(request.cls.name, None)
             server.errors.pop(request.cls.name, None)
--- a/honeywharf/interface.py
+++ b/honeywharf/interface.py
@@ -324,6 +324,11 @@
     endpoint: str = ""
     waited_ms: float = 0.0
 
+    @property
+    def served_ms(self) -> float:
+        """The time from when its bytes left: what the endpoint took, as opposed to the way there."""
+        return self.elapsed_ms - self.waited_ms
+
 
 @dataclass(slots=True, frozen=True)
 class RequestExpired:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -126,6 +126,19 @@
         assert sum(s.ejections > 0 for s in servers.values()) == out, outcome
 
 
+def test_the_wait_for_a_connection_is_no_load() -> None:
+    """Guards against limits, typical times and shares that fall as connections come up late."""
+    driver = Driver()
+    driver.list(TWO_ZONES[:4])
+    before = driver.balancer.zones["a"].limit
+    for _ in range(200):
+        driver.request()
+        driver.end(api.Outcome.OK, after_ms=1000.0, waited_ms=900.0)
+    assert driver.balancer.zones["a"].limit >= before
+    assert driver.balancer.typical_ms["read"] == pytest.approx(100.0)
+    assert {s.pace for s in driver.balancer.servers.values()} == {1.0}
+
+
 def test_errors_in_a_row_eject() -> None:
     driver = Driver()
     driver.list([endpoint("a0"), endpoint("b0", "b"), endpoint("b1", "b")])
