Split net/proxy.py into modules of one concern each

The module held the clock, the log, the interfaces to callers and backends, the state of requests and the driver.

- net/log.py: the lines for the operator;
- net/clock.py: Clock, the Timer and Loop protocols, and how early a timer may come;
- net/calls.py: Call, and the Caller, Transport and Registry protocols;
- net/attempts.py: the state of a request in the table, Attempt and Probe;
- net/driver.py: the Driver, with the bounds on its times and its status codes.

Imports go one way: driver, attempts, calls and clock, log. Upstream, backend and discovery no longer import the driver, nor the decision module through it. Only code moved; in the tests only import lines changed.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -16,9 +16,11 @@
 from honeywharf import interface as api
 from honeywharf.brain import Balancer
 from honeywharf.net import config
+from honeywharf.net.clock import Clock
 from honeywharf.net.discovery import Directory, Watch
 from honeywharf.net.downstream import Front
-from honeywharf.net.proxy import Clock, Driver, log
+from honeywharf.net.driver import Driver
+from honeywharf.net.log import log
 from honeywharf.net.upstream import Pool
 
 # Shares of the descriptors: callers hold a third at most with requests, each of which wants a connection to a
--- a/honeywharf/net/backend.py
+++ b/honeywharf/net/backend.py
@@ -13,8 +13,9 @@
 
 from honeywharf import interface as api
 from honeywharf.net import http1
+from honeywharf.net.calls import Call
+from honeywharf.net.clock import Clock
 from honeywharf.net.config import Address
-from honeywharf.net.proxy import Call, Clock
 
 IDLE_PART = 0.8  # of the shortest time after which a backend was seen to close one
 IDLE_LEAST_MS = 200.0  # under that it closes after an answer, not as idle
--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -11,8 +11,9 @@
 
 from honeywharf import interface as api
 from honeywharf.net import http1
+from honeywharf.net.clock import Clock
 from honeywharf.net.config import Address, address
-from honeywharf.net.proxy import Clock, log
+from honeywharf.net.log import log
 from honeywharf.net.upstream import OWN_FAULTS, Pool
 
 PATH = "/registry/instances"
--- a/honeywharf/net/downstream.py
+++ b/honeywharf/net/downstream.py
@@ -10,8 +10,9 @@
 from typing import cast
 
 from honeywharf.net import http1
+from honeywharf.net.clock import Clock
 from honeywharf.net.config import Address
-from honeywharf.net.proxy import REFUSED, Clock, Driver
+from honeywharf.net.driver import REFUSED, Driver
 
 BACKLOG = 1024
 READY = b"/health/ready"
--- a/honeywharf/net/proxy.py
+++ b/honeywharf/net/driver.py
@@ -6,189 +6,21 @@
 
 from __future__ import annotations
 
-import sys
-import time
 from collections import deque
-from collections.abc import Callable
-from typing import Protocol
 
 from honeywharf import interface as api
 from honeywharf.brain import Balancer
 from honeywharf.net import http1
+from honeywharf.net.attempts import Attempt, Held, Probe
+from honeywharf.net.calls import Caller, Registry, Transport
+from honeywharf.net.clock import EARLY_MS, Clock, Loop
+from honeywharf.net.log import log
 
 # The final answer has to be on its way before the client gives up: its time ran from its sending, so part of
 # it was gone when the request was read, and the timer may run late.
 ANSWER_MARGIN_MS = 10.0
-# The loop's timers may come so early. An attempt with less time left gets no answer, and the request's timer,
-# which would end it, may have come already.
-EARLY_MS = 1.0
 FAILED = 502
 REFUSED = 503
-
-
-def log(words: str) -> None:
-    """A line for the operator."""
-    print(words, file=sys.stderr, flush=True)
-
-
-class Clock:
-    """Wall-clock time at the start plus the monotonic time since, in ms: it never goes back.
-
-    Guards against comparing `startedAtMs`, which is Unix time, with a clock of another origin, or one that
-    somebody sets.
-    """
-
-    def __init__(self) -> None:
-        self._offset_ms = time.time() * 1000.0 - time.monotonic() * 1000.0
-
-    def now(self) -> float:
-        """Milliseconds of Unix time."""
-        return self._offset_ms + time.monotonic() * 1000.0
-
-
-class Timer(Protocol):
-    """What the event loop gives for a callback that is to come."""
-
-    def cancel(self) -> None:
-        """Take the callback back."""
-
-
-class Loop(Protocol):
-    """The part of the event loop that the driver needs."""
-
-    def call_soon(self, callback: Callable[..., object], *args: object) -> object:
-        """Call back in the loop's next turn."""
-
-    def call_later(self, delay: float, callback: Callable[..., object], *args: object) -> Timer:
-        """Call back after so many seconds."""
-
-
-class Caller(Protocol):
-    """Where a request came from and its one final answer goes."""
-
-    def answer(
-        self, status: int, body: bytes = b"", *, retry_after_ms: float = 0.0, kind: bytes = b"",
-    ) -> None:
-        """Write the final answer."""
-
-    def gone(self) -> bool:
-        """Whether it has closed or cancelled, as the system knows it now."""
-
-
-class Call:
-    """Bytes on their way to a backend and back. The transport calls `ended` once, unless it is aborted."""
-
-    __slots__ = ("body", "connection", "endpoint", "head", "left_ms", "probe", "until_ms", "waiting")
-
-    def __init__(
-        self, endpoint: str, head: bytes, body: bytes, until_ms: float, *, probe: bool = False,
-    ) -> None:
-        self.endpoint, self.head, self.body = endpoint, head, body
-        self.until_ms, self.probe = until_ms, probe
-        self.connection: object = None
-        self.waiting = False  # for a connection
-        self.left_ms: float | None = None  # when its bytes were written; None before that
-
-    def wanted(self) -> bool:
-        """Whether it may still leave: asked just before its bytes are written."""
-        return True
-
-    def ended(self, outcome: api.Outcome, response: http1.Response | None) -> None:
-        """What came of it."""
-        raise NotImplementedError
-
-
-class Transport(Protocol):
-    """The way to the backends."""
-
-    def known(self, endpoint: str) -> bool:
-        """Whether a list has named the endpoint."""
-
-    def start(self, call: Call) -> None:
-        """Carry the call; its end comes later, never from within."""
-
-    def abort(self, call: Call) -> None:
-        """Give the call up: its connection closes, and no end is told."""
-
-    def unsent(self, call: Call) -> bool:
-        """Whether some of the call has not left yet: given up now, it never runs."""
-
-    def close_idle(self, endpoint: str) -> None:
-        """Close the idle connections to an endpoint."""
-
-
-class Registry(Protocol):
-    """Where lists of endpoints come from."""
-
-    def watch(self) -> None:
-        """Ask for changes from now on."""
-
-    def fetch(self) -> None:
-        """Ask for the whole list once."""
-
-
-class Held:
-    """A request in the table: until it is over, its attempts have ended and the module has been told."""
-
-    __slots__ = ("attempts", "caller", "deadline_ms", "head", "live", "over", "queued", "request", "timer")
-
-    def __init__(self, request: http1.Request, caller: Caller, deadline_ms: float) -> None:
-        self.request, self.caller, self.deadline_ms = request, caller, deadline_ms
-        self.head = request.head()
-        self.attempts: list[Attempt | None] = []  # None where it was never sent
-        self.live = 0
-        self.queued = 0  # events that name it and are not handled yet
-        self.over = False
-        self.timer: Timer | None = None
-
-
-class Attempt(Call):
-    """One attempt of a request."""
-
-    __slots__ = ("__weakref__", "driver", "held", "leave_by_ms", "live", "number", "sent_ms", "timer")
-
-    def __init__(
-        self, driver: Driver, held: Held, endpoint: str, now: float, until_ms: float, leave_by_ms: float,
-    ) -> None:
-        super().__init__(endpoint, held.head, held.request.body, until_ms)
-        self.driver, self.held, self.number, self.sent_ms = driver, held, len(held.attempts), now
-        self.leave_by_ms = leave_by_ms
-        self.live = True
-        self.timer: Timer | None = None
-
-    def wanted(self) -> bool:
-        """Whether its client is still there, and the time in which it may leave has not run out.
-
-        Guards against attempts that leave after their client has: its close may wait in the system, unread,
-        behind a busy loop, a pipelined request, or the outcome that this attempt follows on. And against
-        repeats that leave after the window in which backends drop them, as their connection came up late.
-        """
-        if self.driver.clock.now() > self.leave_by_ms:
-            return False
-        if not self.held.over and self.held.caller.gone():
-            self.driver.gone(self.held.request)
-        return not self.held.over
-
-    def ended(self, outcome: api.Outcome, response: http1.Response | None) -> None:
-        """Pass the outcome on."""
-        self.driver.attempt_ended(self, outcome, response)
-
-
-class Probe(Call):
-    """A health check of a backend."""
-
-    __slots__ = ("driver", "live", "sent_ms", "timer")
-
-    def __init__(self, driver: Driver, endpoint: str, head: bytes, now: float, until_ms: float) -> None:
-        super().__init__(endpoint, head, b"", until_ms, probe=True)
-        self.driver, self.sent_ms, self.live = driver, now, True
-        self.timer: Timer | None = None
-
-    def ended(self, outcome: api.Outcome, response: http1.Response | None) -> None:
-        """Pass the finding on."""
-        self.driver.probe_ended(self, outcome, response)
-
-
 PROBE_TIMEOUT_MS = 250.0
 
 
--- a/honeywharf/net/upstream.py
+++ b/honeywharf/net/upstream.py
@@ -7,9 +7,10 @@
 
 from honeywharf import interface as api
 from honeywharf.net.backend import Backend, Connection, Dial
+from honeywharf.net.calls import Call
+from honeywharf.net.clock import EARLY_MS, Clock
 from honeywharf.net.config import Address
 from honeywharf.net.connect_times import ConnectTimes
-from honeywharf.net.proxy import EARLY_MS, Call, Clock
 
 # A backend closes an idle connection at the latest after the time in the settings, counted from when it wrote
 # its last byte: a connection nearer to that than this is closed, as a request on it would end as a reset.
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -13,7 +13,7 @@
 from honeywharf import interface as api, wire
 from honeywharf.__main__ import Proxy
 from honeywharf.net import config, http1
-from honeywharf.net.proxy import Call
+from honeywharf.net.calls import Call
 
 T = TypeVar("T")
 WAIT_S = 20.0  # for what must happen; a test that waits so long has failed
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -8,7 +8,7 @@
 import pytest
 
 from honeywharf.net import discovery as discovery_module, downstream
-from honeywharf.net.proxy import Clock
+from honeywharf.net.clock import Clock
 from tests.loopback import Backend, Client, Discovery, World, make_config, run, until
 
 PROXIES, BACKENDS, PER_S = 24, 10, 24.0  # calls a second, over all proxies
--- a/tests/test_dialing.py
+++ b/tests/test_dialing.py
@@ -8,8 +8,8 @@
 import pytest
 
 from honeywharf import interface as api
+from honeywharf.net.clock import Clock
 from honeywharf.net.connect_times import LATE_AFTER, LEAST_PATIENCE_MS, SAMPLES, ConnectTimes
-from honeywharf.net.proxy import Clock
 from honeywharf.net.upstream import Pool
 from tests.loopback import Backend, Client, Ending, reply, run, soon, until, world
 
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -11,7 +11,9 @@
 
 from honeywharf import interface as api
 from honeywharf.net import http1
-from honeywharf.net.proxy import ANSWER_MARGIN_MS, Call, Clock, Driver
+from honeywharf.net.calls import Call
+from honeywharf.net.clock import Clock
+from honeywharf.net.driver import ANSWER_MARGIN_MS, Driver
 
 O = api.Outcome  # noqa: E741
 SETTINGS = api.Settings(
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -12,7 +12,7 @@
 
 from honeywharf import interface as api
 from honeywharf.net import backend as backend_module, http1, upstream
-from honeywharf.net.proxy import Clock
+from honeywharf.net.clock import Clock
 from honeywharf.net.upstream import Pool
 from tests.loopback import Backend, Client, Ending, Gate, read_message, reply, row, run, soon, until, world
 
