Use the standard terms of the field for the names in net/

A newcomer should not have to learn our words first.

- attempts, calls: Held -> PendingRequest (live -> live_attempts, queued -> queued_events), sent_ms -> started_ms, left_ms -> written_ms, leave_by_ms -> send_by_ms, wanted -> may_send, driver -> owner; Caller.gone -> disconnected, Transport.known -> has_endpoint.
- driver: arrived -> request_arrived, gone -> client_disconnected, listed -> discovery_event, fault_of -> invalid_reason, full -> at_capacity, open -> open_requests, fail_all -> fail_open_requests, _over -> _conclude, _withdraw -> _abort_unsent, _forget -> _remove, _feed -> _enqueue, _run -> _process_events, _perform -> _execute, _woken -> _timer_fired, _overdue -> _deadline_reached, _report -> _load_report; FAILED -> BAD_GATEWAY, REFUSED -> SERVICE_UNAVAILABLE, EARLY_MS -> TIMER_EARLY_MS (in clock).
- upstream, backend: Pool.name -> set_endpoint, forget -> remove_endpoint, known -> has_endpoint, rest -> release, dropped -> connection_closed, not_connected -> fail_unsent, most -> max_connections, _make_room -> _evict_idle, _take_kept -> _take_idle; Connection.count_off -> leave_pool; SPOILT -> UNREADABLE_ANSWER, MOST_DOUBLINGS -> MAX_DOUBLINGS.
- downstream: Front -> Frontend, most -> max_connections, may_come -> can_serve, cut -> refusing, leaving -> lingering, joined, left -> connection_opened, connection_closed, rest -> wait_for_request, writing -> has_unwritten_data, _make_room -> _evict, _look_whether_empty -> _notify_if_empty, _next_in_line -> _accept_next.
Its Connection: among -> group, ended -> finished, thrown -> discarded_bytes, waiting -> pipelined, gone -> disconnected, _throw -> _discard, _too_far_ahead -> _reject_pipeline, _turn -> _resume, _cut -> _linger_expired, _stop -> _finish, _leave -> _disconnect; MOST_WAITING -> MAX_PIPELINED, MOST_WAITING_BYTES -> MAX_PIPELINED_BYTES, LINGER_MOST_S -> LINGER_MAX_S.
- discovery: Directory._forget -> _remove.
Proxy.front -> frontend.

Docstrings say the same in ordinary English and keep their reasons. Log lines, values of constants and the order of calls are as before; the tests change in names only.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -18,7 +18,7 @@
 from honeywharf.net import config
 from honeywharf.net.clock import Clock
 from honeywharf.net.discovery import Directory, Watch
-from honeywharf.net.downstream import Front
+from honeywharf.net.downstream import Frontend
 from honeywharf.net.driver import Driver
 from honeywharf.net.log import log
 from honeywharf.net.upstream import Pool
@@ -52,7 +52,7 @@
             conf.report_fields)
         self.directory = Directory(self.pool)
         self.watch = Watch(
-            loop, self.clock, conf.discovery, self.directory, self.driver.listed,
+            loop, self.clock, conf.discovery, self.directory, self.driver.discovery_event,
             polled=conf.settings.polled_discovery, drain_grace_ms=conf.settings.rules.drain_grace_ms)
         self.driver.registry = self.watch
         # A list held serves at once. Guards against a restarted proxy that knows its backends and stays out
@@ -60,7 +60,7 @@
         # But where lists are pushed, what the agent has counts as told from a process's first moment, and the
         # list held may be old: there the first answer is waited for, which comes within milliseconds, and so
         # it is where no list is held. In neither case for long: the module refuses what it cannot send.
-        self.front = Front(
+        self.frontend = Frontend(
             loop, self.clock, self.driver, room - upstream,
             lambda: self.waited or self.watch.up or (
                 conf.settings.polled_discovery and bool(self.directory.names)))
@@ -75,7 +75,7 @@
             self.loop.add_signal_handler(number, self.drain)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.driver.start(self.directory.take(self.conf.known, api.ListKind.CACHED))
-        host, port = await self.front.listen(self.conf.listen)
+        host, port = await self.frontend.listen(self.conf.listen)
         log(f"{self.conf.name} listens on {host}:{port}")
         self.watch.start()
         self.loop.call_later(READY_S, self._be_ready)
@@ -84,7 +84,7 @@
         gc.freeze()  # the collector need not look at what stays
         gc.set_threshold(20000, 20, 50)
         await self.stopped.wait()
-        log(f"stops: {self.driver.open} requests open")
+        log(f"stops: {self.driver.open_requests} requests open")
 
     def reload(self) -> None:
         """Take over where discovery is now. All that is held, requests and records, goes on untouched."""
@@ -102,27 +102,28 @@
 
     def drain(self) -> None:
         """Leave service without losing a request: see DEPLOY and PROTOCOL on planned restarts."""
-        if self.front.draining:
+        if self.frontend.draining:
             return
-        log(f"drain: {self.driver.open} requests open on {len(self.front.connections)} connections")
-        self.front.drain()
+        connections = len(self.frontend.connections)
+        log(f"drain: {self.driver.open_requests} requests open on {connections} connections")
+        self.frontend.drain()
         longest = max(c.deadline_ms for c in self.conf.settings.classes)
         self.loop.call_later(ACCEPT_S, self._close_listener)
         self.loop.call_later(min(longest, KILL_AFTER_MS) / 1000.0 + BEFORE_KILL_S, self._cut_off)
 
     def _close_listener(self) -> None:
-        self.front.stop_listening(self.stopped.set)
-        self.loop.call_later(LAST_CALL_S, self.front.close_idle)
+        self.frontend.stop_listening(self.stopped.set)
+        self.loop.call_later(LAST_CALL_S, self.frontend.close_idle)
 
     def _cut_off(self) -> None:
         """What is still open is answered before the process is killed, and so is what comes from now on."""
-        self.front.cut = True
-        self.driver.fail_all()
+        self.frontend.refusing = True
+        self.driver.fail_open_requests()
         self.loop.call_later(LEAVE_S, self._leave, self.clock.now() + LEAVE_LATEST_MS)
 
     def _leave(self, latest_ms: float) -> None:
         """End once the answers have left. Guards against taking the rest of one along."""
-        if self.front.writing() and self.clock.now() < latest_ms:
+        if self.frontend.has_unwritten_data() and self.clock.now() < latest_ms:
             self.loop.call_later(LEAVE_S / 5, self._leave, latest_ms)
         else:
             self.stopped.set()
--- a/honeywharf/net/attempts.py
+++ b/honeywharf/net/attempts.py
@@ -15,27 +15,33 @@
 
     clock: Clock
 
-    def gone(self, request: http1.Request) -> None:
-        """The client of the request has left."""
+    def client_disconnected(self, request: http1.Request) -> None:
+        """Take note that the client of the request has left."""
 
     def attempt_ended(self, attempt: Attempt, outcome: api.Outcome, response: http1.Response | None) -> None:
-        """Note an attempt's one outcome."""
+        """Record an attempt's one outcome."""
 
     def probe_ended(self, probe: Probe, outcome: api.Outcome, response: http1.Response | None) -> None:
-        """Note what a probe found."""
+        """Record the result of a probe."""
 
 
-class Held:
-    """A request in the table: until it is over, its attempts have ended and the module has been told."""
+class PendingRequest:
+    """A request in the driver's table.
 
-    __slots__ = ("attempts", "caller", "deadline_ms", "head", "live", "over", "queued", "request", "timer")
+    It stays there until it is over, its attempts have ended and the decision module has been told.
+    """
+
+    __slots__ = (
+        "attempts", "caller", "deadline_ms", "head", "live_attempts", "over", "queued_events", "request",
+        "timer",
+    )
 
     def __init__(self, request: http1.Request, caller: Caller, deadline_ms: float) -> None:
         self.request, self.caller, self.deadline_ms = request, caller, deadline_ms
         self.head = request.head()
         self.attempts: list[Attempt | None] = []  # None where it was never sent
-        self.live = 0
-        self.queued = 0  # events that name it and are not handled yet
+        self.live_attempts = 0
+        self.queued_events = 0  # events about it that are not processed yet
         self.over = False
         self.timer: Timer | None = None
 
@@ -43,46 +49,47 @@
 class Attempt(Call):
     """One attempt of a request."""
 
-    __slots__ = ("__weakref__", "driver", "held", "leave_by_ms", "live", "number", "sent_ms", "timer")
+    __slots__ = ("__weakref__", "live", "number", "owner", "pending", "send_by_ms", "started_ms", "timer")
 
     def __init__(
-        self, driver: AttemptOwner, held: Held, endpoint: str, now: float, until_ms: float,
-        leave_by_ms: float,
+        self, owner: AttemptOwner, pending: PendingRequest, endpoint: str, now: float, until_ms: float,
+        send_by_ms: float,
     ) -> None:
-        super().__init__(endpoint, held.head, held.request.body, until_ms)
-        self.driver, self.held, self.number, self.sent_ms = driver, held, len(held.attempts), now
-        self.leave_by_ms = leave_by_ms
+        super().__init__(endpoint, pending.head, pending.request.body, until_ms)
+        self.owner, self.pending, self.number, self.started_ms = owner, pending, len(pending.attempts), now
+        self.send_by_ms = send_by_ms
         self.live = True
         self.timer: Timer | None = None
 
-    def wanted(self) -> bool:
-        """Whether its client is still there, and the time in which it may leave has not run out.
+    def may_send(self) -> bool:
+        """Whether its client is still connected and the time in which it may be sent has not run out.
 
-        Guards against attempts that leave after their client has: its close may wait in the system, unread,
-        behind a busy loop, a pipelined request, or the outcome that this attempt follows on. And against
-        repeats that leave after the window in which backends drop them, as their connection came up late.
+        Guards against attempts that are sent after their client left: its close may wait unread in the system
+        behind a busy loop, a pipelined request, or the outcome that this attempt follows on. Guards too
+        against repeats that are sent after the window in which backends drop duplicates, because their
+        connection came up late.
         """
-        if self.driver.clock.now() > self.leave_by_ms:
+        if self.owner.clock.now() > self.send_by_ms:
             return False
-        if not self.held.over and self.held.caller.gone():
-            self.driver.gone(self.held.request)
-        return not self.held.over
+        if not self.pending.over and self.pending.caller.disconnected():
+            self.owner.client_disconnected(self.pending.request)
+        return not self.pending.over
 
     def ended(self, outcome: api.Outcome, response: http1.Response | None) -> None:
-        """Pass the outcome on."""
-        self.driver.attempt_ended(self, outcome, response)
+        """Pass the outcome to the owner."""
+        self.owner.attempt_ended(self, outcome, response)
 
 
 class Probe(Call):
     """A health check of a backend."""
 
-    __slots__ = ("driver", "live", "sent_ms", "timer")
+    __slots__ = ("live", "owner", "started_ms", "timer")
 
-    def __init__(self, driver: AttemptOwner, endpoint: str, head: bytes, now: float, until_ms: float) -> None:
+    def __init__(self, owner: AttemptOwner, endpoint: str, head: bytes, now: float, until_ms: float) -> None:
         super().__init__(endpoint, head, b"", until_ms, probe=True)
-        self.driver, self.sent_ms, self.live = driver, now, True
+        self.owner, self.started_ms, self.live = owner, now, True
         self.timer: Timer | None = None
 
     def ended(self, outcome: api.Outcome, response: http1.Response | None) -> None:
-        """Pass the finding on."""
-        self.driver.probe_ended(self, outcome, response)
+        """Pass the result to the owner."""
+        self.owner.probe_ended(self, outcome, response)
--- a/honeywharf/net/backend.py
+++ b/honeywharf/net/backend.py
@@ -28,7 +28,7 @@
 O = api.Outcome  # noqa: E741
 # An answer that can't be read: the backend is up and has run the request. Guards against taking it for a
 # broken connection, which the module takes for the end of the backend's process.
-SPOILT = O.ERROR
+UNREADABLE_ANSWER = O.ERROR
 
 
 def outcome_of(response: http1.Response) -> api.Outcome:
@@ -46,14 +46,14 @@
     clock: Clock
     bytes_read: int  # of answers that have begun and not ended
 
-    def rest(self, connection: Connection) -> None:
-        """Keep the connection for the next call."""
+    def release(self, connection: Connection) -> None:
+        """Return the connection to the pool for the next call."""
 
-    def dropped(self, connection: Connection) -> None:
-        """The connection is closed."""
+    def connection_closed(self, connection: Connection) -> None:
+        """Remove a closed connection from the count."""
 
-    def not_connected(self, call: Call, outcome: api.Outcome) -> None:
-        """Nothing of the call has left."""
+    def fail_unsent(self, call: Call, outcome: api.Outcome) -> None:
+        """End a call of which nothing was written."""
 
 
 @dataclass(slots=True, eq=False)
@@ -117,14 +117,14 @@
         self.unsent = False
 
     def carry(self, call: Call) -> None:
-        """Write the whole request, in one write, if it may still leave."""
-        if not call.wanted():
-            self.pool.rest(self)
+        """Write the whole request, in one write, if it may still be sent."""
+        if not call.may_send():
+            self.pool.release(self)
             # Its end never comes from within `start`.
-            self.pool.loop.call_soon(self.pool.not_connected, call, O.NOT_SENT)
+            self.pool.loop.call_soon(self.pool.fail_unsent, call, O.NOT_SENT)
             return
         self.call, call.connection = call, self
-        call.left_ms = now = self.pool.clock.now()
+        call.written_ms = now = self.pool.clock.now()
         left = b"" if call.probe else http1.time_left(call.until_ms - now)
         host = b"Host: %b\r\n" % self.backend.host if call.probe else b""
         self.transport.write(b"%b%b%b\r\n%b" % (call.head, host, left, call.body))
@@ -142,7 +142,7 @@
         try:
             response = self.reader.feed(data)
         except http1.MalformedError:
-            self._end(SPOILT, None)
+            self._end(UNREADABLE_ANSWER, None)
             return
         if response is not None:
             reader = self.reader
@@ -153,7 +153,7 @@
         self.bytes_read += len(data)
         self.pool.bytes_read += len(data)
         if self.pool.bytes_read > ANSWERS_BYTES:
-            self._end(SPOILT, None)
+            self._end(UNREADABLE_ANSWER, None)
         elif self.timer is None:
             self.begun_ms = self.heard_ms
             self.timer = self.pool.loop.call_later(ANSWER_S, self._stalled)
@@ -166,7 +166,7 @@
         if left_s > 0.001:
             self.timer = self.pool.loop.call_later(left_s, self._stalled)
         else:
-            self._end(SPOILT, None)
+            self._end(UNREADABLE_ANSWER, None)
 
     def _disarm(self) -> None:
         self.pool.bytes_read -= self.bytes_read
@@ -207,7 +207,7 @@
         self._disarm()
         if reusable:
             self.idle_since = self.answered_ms = self.pool.clock.now()
-            self.pool.rest(self)
+            self.pool.release(self)
         else:
             self.drop()
         if call is not None:
@@ -217,7 +217,7 @@
     def drop(self) -> None:
         """Close at once; what was not written stays unwritten."""
         if not self.closed:
-            self.count_off()
+            self.leave_pool()
             if self.unsent and not self.transport.is_closing():
                 self._end_sending()
             self.transport.abort()
@@ -230,9 +230,9 @@
         with socket.socket(fileno=os.dup(self.descriptor)) as same, suppress(OSError):
             same.shutdown(socket.SHUT_RDWR)  # an error: the backend has ended the connection already
 
-    def count_off(self) -> None:
+    def leave_pool(self) -> None:
         """Leave the pool, once; nothing that still comes is looked at."""
         self.closed = True
         self._disarm()
         self.reader.close()
-        self.pool.dropped(self)
+        self.pool.connection_closed(self)
--- a/honeywharf/net/calls.py
+++ b/honeywharf/net/calls.py
@@ -13,21 +13,21 @@
 
 
 class Caller(Protocol):
-    """Where a request came from and its one final answer goes."""
+    """The source of a request, which receives its one final answer."""
 
     def answer(
         self, status: int, body: bytes = b"", *, retry_after_ms: float = 0.0, kind: bytes = b"",
     ) -> None:
         """Write the final answer."""
 
-    def gone(self) -> bool:
-        """Whether it has closed or cancelled, as the system knows it now."""
+    def disconnected(self) -> bool:
+        """Whether it has closed or cancelled, according to the operating system at this moment."""
 
 
 class Call:
-    """Bytes on their way to a backend and back. The transport calls `ended` once, unless it is aborted."""
+    """One exchange with a backend. The transport calls `ended` once, unless the call is aborted."""
 
-    __slots__ = ("body", "connection", "endpoint", "head", "left_ms", "probe", "until_ms", "waiting")
+    __slots__ = ("body", "connection", "endpoint", "head", "probe", "until_ms", "waiting", "written_ms")
 
     def __init__(
         self, endpoint: str, head: bytes, body: bytes, until_ms: float, *, probe: bool = False,
@@ -35,42 +35,42 @@
         self.endpoint, self.head, self.body = endpoint, head, body
         self.until_ms, self.probe = until_ms, probe
         self.connection: object = None
-        self.waiting = False  # for a connection
-        self.left_ms: float | None = None  # when its bytes were written; None before that
+        self.waiting = False  # until it gets a connection
+        self.written_ms: float | None = None  # when its bytes were written; None before that
 
-    def wanted(self) -> bool:
-        """Whether it may still leave: asked just before its bytes are written."""
+    def may_send(self) -> bool:
+        """Whether it may still be sent: asked just before its bytes are written."""
         return True
 
     def ended(self, outcome: api.Outcome, response: http1.Response | None) -> None:
-        """What came of it."""
+        """Take the outcome of the call."""
         raise NotImplementedError
 
 
 class Transport(Protocol):
-    """The way to the backends."""
+    """Carries calls to the backends."""
 
-    def known(self, endpoint: str) -> bool:
+    def has_endpoint(self, endpoint: str) -> bool:
         """Whether a list has named the endpoint."""
 
     def start(self, call: Call) -> None:
-        """Carry the call; its end comes later, never from within."""
+        """Start the call; `ended` is called later, never from within this method."""
 
     def abort(self, call: Call) -> None:
-        """Give the call up: its connection closes, and no end is told."""
+        """Abort the call: its connection closes, and `ended` is not called."""
 
     def unsent(self, call: Call) -> bool:
-        """Whether some of the call has not left yet: given up now, it never runs."""
+        """Whether part of the call is not written yet: aborted now, it never runs."""
 
     def close_idle(self, endpoint: str) -> None:
         """Close the idle connections to an endpoint."""
 
 
 class Registry(Protocol):
-    """Where lists of endpoints come from."""
+    """The source of endpoint lists: service discovery."""
 
     def watch(self) -> None:
-        """Ask for changes from now on."""
+        """Subscribe to changes from now on."""
 
     def fetch(self) -> None:
-        """Ask for the whole list once."""
+        """Request the whole list once."""
--- a/honeywharf/net/clock.py
+++ b/honeywharf/net/clock.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
-# The loop's timers may come so early. An attempt with less time left gets no answer, and the request's timer,
-# which would end it, may have come already.
-EARLY_MS = 1.0
+# The event loop may fire a timer early by so much. An attempt with less time left gets no answer, and the
+# request's timer, which would end it, may have fired already.
+TIMER_EARLY_MS = 1.0
 
 
 class Clock:
@@ -27,17 +27,17 @@
 
 
 class Timer(Protocol):
-    """What the event loop gives for a callback that is to come."""
+    """The handle of a scheduled callback."""
 
     def cancel(self) -> None:
-        """Take the callback back."""
+        """Cancel the callback."""
 
 
 class Loop(Protocol):
     """The part of the event loop that the driver needs."""
 
     def call_soon(self, callback: Callable[..., object], *args: object) -> object:
-        """Call back in the loop's next turn."""
+        """Run the callback in the loop's next iteration."""
 
     def call_later(self, delay: float, callback: Callable[..., object], *args: object) -> Timer:
-        """Call back after so many seconds."""
+        """Run the callback after a delay in seconds."""
--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -87,21 +87,21 @@
                 log(f"discovery: entry left out: {fault}")
         if full:
             for name in self.names - {e.id for e, _ in rows}:
-                self._forget(name)
+                self._remove(name)
         for entry, where in rows:
             if entry.state is api.EndpointState.GONE:
-                self._forget(entry.id)
+                self._remove(entry.id)
             else:
                 self.names.add(entry.id)
                 ready = entry.state is api.EndpointState.READY
-                self.pool.name(entry.id, where, entry.started_ms, open_for_work=ready)
+                self.pool.set_endpoint(entry.id, where, entry.started_ms, open_for_work=ready)
         self.generation = generation
         kind = kind or (api.ListKind.FULL if full else api.ListKind.CHANGES)
         return api.EndpointsListed(kind, tuple(e for e, _ in rows), generation)
 
-    def _forget(self, name: str) -> None:
+    def _remove(self, name: str) -> None:
         self.names.discard(name)
-        self.pool.forget(name)
+        self.pool.remove_endpoint(name)
 
 
 class Line(asyncio.Protocol):
--- a/honeywharf/net/log.py
+++ b/honeywharf/net/log.py
@@ -1,10 +1,10 @@
-"""Lines for the operator, on standard error."""
+"""Operator log: plain lines on standard error."""
 
 from __future__ import annotations
 
 import sys
 
 
-def log(words: str) -> None:
-    """A line for the operator."""
-    print(words, file=sys.stderr, flush=True)
+def log(message: str) -> None:
+    """Write one line for the operator."""
+    print(message, file=sys.stderr, flush=True)
--- a/honeywharf/net/upstream.py
+++ b/honeywharf/net/upstream.py
@@ -8,7 +8,7 @@
 from honeywharf import interface as api
 from honeywharf.net.backend import Backend, Connection, Dial
 from honeywharf.net.calls import Call
-from honeywharf.net.clock import EARLY_MS, Clock
+from honeywharf.net.clock import TIMER_EARLY_MS, Clock
 from honeywharf.net.config import Address
 from honeywharf.net.connect_times import ConnectTimes
 
@@ -19,7 +19,7 @@
 # late, and it would be taken for the next request's. Costs a busy pool about one connection more.
 SETTLE_MS = 25.0
 SWEEP_S = 0.5
-MOST_DOUBLINGS = 10  # of the patience with a connection: far over any time-out by then
+MAX_DOUBLINGS = 10  # of the patience with a connection: far over any time-out by then
 OWN_FAULTS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
 
@@ -27,9 +27,9 @@
     """All connections to all backends, within one bound."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, clock: Clock, limits: api.Limits, most: int,
+        self, loop: asyncio.AbstractEventLoop, clock: Clock, limits: api.Limits, max_connections: int,
     ) -> None:
-        self.loop, self.clock, self.most = loop, clock, most
+        self.loop, self.clock, self.max_connections = loop, clock, max_connections
         self.connect_timeout_s = (limits.connect_timeout_ms or 1000.0) / 1000.0
         self.idle_ms = max(0.0, limits.idle_ms - IDLE_MARGIN_MS) if limits.idle_ms else 60000.0
         self.backends: dict[str, Backend] = {}
@@ -43,8 +43,10 @@
 
     # The list.
 
-    def name(self, endpoint: str, address: Address, started_ms: float | None, *, open_for_work: bool) -> None:
-        """Take over an endpoint's address; another address or a new start drops its idle connections."""
+    def set_endpoint(
+        self, endpoint: str, address: Address, started_ms: float | None, *, open_for_work: bool,
+    ) -> None:
+        """Add or update an endpoint; a changed address or start time closes its idle connections."""
         known = self.backends.get(endpoint)
         if known is None or known.address != address or known.started_ms != started_ms:
             if known is not None:
@@ -55,13 +57,13 @@
         if not open_for_work:
             self._retire(known)
 
-    def forget(self, endpoint: str) -> None:
-        """The endpoint is gone: nothing can be sent there any more."""
+    def remove_endpoint(self, endpoint: str) -> None:
+        """Remove an endpoint: nothing can be sent to it any more."""
         backend = self.backends.pop(endpoint, None)
         if backend is not None:
             self._retire(backend)
 
-    def known(self, endpoint: str) -> bool:
+    def has_endpoint(self, endpoint: str) -> bool:
         """Whether a list has named the endpoint."""
         return endpoint in self.backends
 
@@ -72,7 +74,7 @@
             self._close_idle(backend)
 
     def _retire(self, backend: Backend) -> None:
-        """Nothing more is sent there on the connections that it has, or that come up."""
+        """Stop sending on a backend's connections, those still being opened included."""
         backend.open_for_work = False
         self._fail_all_waiting(backend)
         self._close_idle(backend)
@@ -84,9 +86,9 @@
     # Calls.
 
     def start(self, call: Call) -> None:
-        """Put the call on a kept connection, or let it wait for the next one that is free."""
+        """Send the call on an idle connection, or queue it for the next one that is free."""
         backend = self.backends[call.endpoint]
-        connection = self._take_kept(backend)
+        connection = self._take_idle(backend)
         if connection is not None:
             connection.carry(call)
             return
@@ -97,7 +99,7 @@
         self._dial_for_waiting(backend)
 
     def abort(self, call: Call) -> None:
-        """Give the call up: closing its connection is how the backend learns of it."""
+        """Abort the call: closing its connection is how the backend learns of it."""
         connection, call.connection = call.connection, None
         if call.waiting:
             self._stop_waiting(call, self.backends[call.endpoint])
@@ -106,15 +108,15 @@
             connection.drop()
 
     def unsent(self, call: Call) -> bool:
-        """Whether some of the call has not left yet: given up now, it never runs."""
+        """Whether part of the call is not written yet: aborted now, it never runs."""
         connection = call.connection
         return call.waiting or (isinstance(connection, Connection) and connection.unsent)
 
-    def not_connected(self, call: Call, outcome: api.Outcome) -> None:
-        """Nothing of the call has left."""
+    def fail_unsent(self, call: Call, outcome: api.Outcome) -> None:
+        """End a call of which nothing was written."""
         call.ended(outcome, None)
 
-    def _take_kept(self, backend: Backend) -> Connection | None:
+    def _take_idle(self, backend: Backend) -> Connection | None:
         """The connection used last, of those that have settled and are still good."""
         now = self.clock.now()
         oldest = now - min(self.idle_ms, backend.idle_ms)
@@ -135,7 +137,7 @@
     def _fail_waiting(self, call: Call, backend: Backend, outcome: api.Outcome) -> None:
         """End a call of which nothing has left. Its end never comes from within `start`."""
         self._stop_waiting(call, backend)
-        self.loop.call_soon(self.not_connected, call, outcome)
+        self.loop.call_soon(self.fail_unsent, call, outcome)
 
     def _fail_all_waiting(self, backend: Backend) -> None:
         """Guards against calls that reach a backend past the grace: their connection may take longer."""
@@ -153,7 +155,7 @@
     def _serve_waiting(self, backend: Backend) -> None:
         """Put calls that wait on the connections that are free, the oldest first."""
         while backend.waiting:
-            connection = self._take_kept(backend)
+            connection = self._take_idle(backend)
             if connection is None:
                 self._serve_when_settled(backend)
                 return
@@ -164,7 +166,7 @@
     def _serve_when_settled(self, backend: Backend) -> None:
         """Come back to the calls that wait once the next kept connection may be used again."""
         if backend.idle and backend.settling is None:
-            due_ms = min(c.answered_ms for c in backend.idle) + SETTLE_MS + EARLY_MS
+            due_ms = min(c.answered_ms for c in backend.idle) + SETTLE_MS + TIMER_EARLY_MS
             wait_s = max(0.0, due_ms - self.clock.now()) / 1000.0
             backend.settling = self.loop.call_later(wait_s, self._settled, backend)
 
@@ -182,7 +184,7 @@
         """
         while sum(not d.late for d in backend.dials) < len(backend.waiting):
             spare = len(backend.dials) >= len(backend.waiting)
-            if self.count >= self.most and (spare or not self._make_room()):
+            if self.count >= self.max_connections and (spare or not self._evict_idle()):
                 # Guards against blaming the backend for what this proxy lacks.
                 self._fail_excess(backend, api.Outcome.NOT_SENT)
                 return
@@ -197,7 +199,7 @@
         self.handshakes += 1
         dial = Dial(self.clock.now())
         backend.dials.add(dial)
-        patience_ms = self.connect_times.patience_ms() * 2.0 ** min(backend.late_in_a_row, MOST_DOUBLINGS)
+        patience_ms = self.connect_times.patience_ms() * 2.0 ** min(backend.late_in_a_row, MAX_DOUBLINGS)
         if patience_ms < self.connect_timeout_s * 1000.0:
             dial.timer = self.loop.call_later(patience_ms / 1000.0, self._is_late, dial, backend)
         task = self.loop.create_task(self._open(dial, backend))
@@ -225,7 +227,7 @@
                 outcome = api.Outcome.NOT_SENT
             if not connection.closed:
                 # One that came up as its time ran out is lost too: guards against counting it off twice.
-                connection.count_off()
+                connection.leave_pool()
         backend.dials.discard(dial)
         if dial.timer is not None:
             dial.timer.cancel()
@@ -238,11 +240,11 @@
             return
         if not dial.late:
             backend.late_in_a_row = 0
-        self.rest(connection)
+        self.release(connection)
         self._serve_waiting(backend)
 
-    def rest(self, connection: Connection) -> None:
-        """Keep the connection for the next call, unless its backend has moved on."""
+    def release(self, connection: Connection) -> None:
+        """Return the connection to its backend's idle ones, unless the backend takes no more calls."""
         if not connection.backend.open_for_work:
             connection.drop()
             return
@@ -251,13 +253,13 @@
         if backend.waiting:
             self._serve_when_settled(backend)
 
-    def dropped(self, connection: Connection) -> None:
-        """A connection is closed."""
+    def connection_closed(self, connection: Connection) -> None:
+        """Remove a closed connection from the count and from its backend's idle ones."""
         self.count -= 1
         if connection in connection.backend.idle:
             connection.backend.idle.remove(connection)
 
-    def _make_room(self) -> bool:
+    def _evict_idle(self) -> bool:
         """Close the connection that has been idle longest, of all backends."""
         rested = [b.idle[0] for b in self.backends.values() if b.idle]
         if not rested:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -206,8 +206,8 @@
 
     async def start(self) -> None:
         self.running = asyncio.create_task(self.proxy.run())
-        await until(lambda: self.proxy.front.server is not None)
-        server = self.proxy.front.server
+        await until(lambda: self.proxy.frontend.server is not None)
+        server = self.proxy.frontend.server
         assert server is not None
         self.port = server.sockets[0].getsockname()[1]
 
@@ -263,8 +263,8 @@
     finally:
         assert made.running is not None
         made.running.cancel()
-        made.proxy.front.stop_listening()
-        for connection in list(made.proxy.front.connections):
+        made.proxy.frontend.stop_listening()
+        for connection in list(made.proxy.frontend.connections):
             connection.transport.abort()
         await discovery.stop()
         with suppress(asyncio.CancelledError):
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -28,7 +28,7 @@
 
 def on_clock(w: World, clock: Clock) -> None:
     proxy = w.proxy
-    proxy.clock = proxy.driver.clock = proxy.pool.clock = proxy.front.clock = proxy.watch.clock = clock
+    proxy.clock = proxy.driver.clock = proxy.pool.clock = proxy.frontend.clock = proxy.watch.clock = clock
 
 
 @pytest.mark.parametrize("restarted", [0, PROXIES * 7 // 10])
@@ -89,7 +89,7 @@
         for w in worlds:
             assert w.running is not None
             w.running.cancel()
-            w.proxy.front.stop_listening()
+            w.proxy.frontend.stop_listening()
             await w.discovery.stop()
         await backend.stop()
     run(main())
--- a/tests/test_dialing.py
+++ b/tests/test_dialing.py
@@ -37,7 +37,7 @@
     loop = Late(asyncio.get_running_loop(), *late)
     limits = api.Limits(connect_timeout_ms=timeout_ms)
     pool = Pool(loop, Clock(), limits, most)  # type: ignore[arg-type]
-    pool.name("b", ("127.0.0.1", backend.port), None, open_for_work=True)
+    pool.set_endpoint("b", ("127.0.0.1", backend.port), None, open_for_work=True)
     return pool, loop
 
 
@@ -121,7 +121,7 @@
     async def main() -> None:
         backend, other = await Backend().start(), await Backend().start()
         pool, loop = make_pool(backend, 1, most=2)
-        pool.name("other", ("127.0.0.1", other.port), None, open_for_work=True)
+        pool.set_endpoint("other", ("127.0.0.1", other.port), None, open_for_work=True)
         kept = Ending(b"")
         kept.endpoint = "other"
         pool.start(kept)
@@ -168,9 +168,10 @@
         await until(lambda: pool.late >= 3)
         where = ("127.0.0.1", other.port if change == "moves" else backend.port)
         if change == "leaves":
-            pool.forget("b")
+            pool.remove_endpoint("b")
         else:
-            pool.name("b", where, 2.0 if change == "starts anew" else None, open_for_work=change != "drains")
+            pool.set_endpoint(
+                "b", where, 2.0 if change == "starts anew" else None, open_for_work=change != "drains")
         for call in calls:
             await soon(call.outcome.wait())
             assert call.outcomes == [O.NOT_SENT]
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -85,7 +85,7 @@
             w.discovery.tell(3, one.row("one"), reset=True)
             event = await told(w, 3)
             assert event.kind is api.ListKind.FULL
-            assert not w.proxy.pool.known("two")
+            assert not w.proxy.pool.has_endpoint("two")
             for _ in range(3):
                 client.send()
                 assert await client.status() == 200
@@ -106,7 +106,7 @@
             w.discovery.tell(2, {**backend.row("b"), **change})
             await told(w, 2)
             await until(lambda: backend.closed == 1)
-            assert w.proxy.pool.known("b") == (change.get("lifecycle") != "removed")
+            assert w.proxy.pool.has_endpoint("b") == (change.get("lifecycle") != "removed")
         await backend.stop()
     run(main())
 
@@ -151,7 +151,7 @@
             w.discovery.tell(4, {"odd": 1}, row("c", 2))  # the sound entry counts
             event = await told(w, 2)
             assert [e.id for e in event.endpoints] == ["c"]
-            assert w.proxy.pool.known("b")
+            assert w.proxy.pool.has_endpoint("b")
     run(main())
 
 
@@ -434,17 +434,17 @@
         w = World(make_config(discovery.port, [row("b", 1)], discovery="ask"), discovery)
         await w.start()
         assert discovery.calls == []
-        w.proxy.driver._perform(api.WatchEndpoints())
+        w.proxy.driver._execute(api.WatchEndpoints())
         await soon(discovery.called.wait())
         discovery.answers.put_nowait(reply(503))
         await until(lambda: lists(w)[-1].kind is api.ListKind.FAILED)
         calls = len(discovery.calls)
-        w.proxy.driver._perform(api.FetchEndpoints())
+        w.proxy.driver._execute(api.FetchEndpoints())
         await until(lambda: len(discovery.calls) > calls)
         assert discovery.calls[-1].startswith(b"GET /registry/instances ")
         discovery.tell(9, row("c", 2))
         await until(lambda: lists(w)[-1].kind is api.ListKind.FULL)
-        assert not w.proxy.pool.known("b")
+        assert not w.proxy.pool.has_endpoint("b")
         assert w.running is not None
         w.running.cancel()
         await asyncio.sleep(0)
@@ -623,7 +623,7 @@
             assert b"after=3&" in other.calls[1]
             assert [e.kind for e in lists(w)] == [api.ListKind.CACHED, api.ListKind.FULL]
             assert w.proxy.driver.balancer.servers["b"] is record
-            assert not w.proxy.pool.known("late")
+            assert not w.proxy.pool.has_endpoint("late")
             for writer in list(backend.writers):
                 writer.write(reply())
             assert await client.status() == 200
@@ -631,7 +631,7 @@
             for writer in list(w.discovery.connections):  # and its late loss touches nothing
                 writer.transport.abort()
             other.tell(4, row("d", 3))
-            await until(lambda: w.proxy.pool.known("d"))
+            await until(lambda: w.proxy.pool.has_endpoint("d"))
             assert len(other.connections) == 1
         await other.stop()
         await backend.stop()
@@ -651,8 +651,8 @@
             last.tell(1, row("e", 5))
             await moved(w, last)
             assert len(last.connections) == 1
-            assert w.proxy.pool.known("e")
-            assert not w.proxy.pool.known("b")
+            assert w.proxy.pool.has_endpoint("e")
+            assert not w.proxy.pool.has_endpoint("b")
             await until(lambda: not first.connections)
         await first.stop()
         await last.stop()
@@ -668,11 +668,11 @@
             w.proxy.watch.move(("127.0.0.1", port))
             await until(lambda: w.proxy.watch.failures >= 2)
             assert w.proxy.watch.up
-            assert w.proxy.pool.known("b")
+            assert w.proxy.pool.has_endpoint("b")
             await other.start(port)
             other.answers.put_nowait(reply(503))
             other.tell(2, row("f", 6))
-            await until(lambda: w.proxy.pool.known("f"))
+            await until(lambda: w.proxy.pool.has_endpoint("f"))
             assert other.calls[:2] == [b"GET /registry/instances HTTP/1.1"] * 2
         await other.stop()
     run(main())
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -73,7 +73,7 @@
     run(main())
 
 
-@pytest.mark.parametrize("number", [downstream.MOST_WAITING + 1, 400])
+@pytest.mark.parametrize("number", [downstream.MAX_PIPELINED + 1, 400])
 def test_a_client_that_sends_requests_by_the_hundred_is_answered_once_and_closed(number: int) -> None:
     async def main() -> None:
         backend = await Backend().start()
@@ -90,7 +90,7 @@
             assert await other.status() == 200
             for writer in list(backend.writers):
                 writer.write(reply())
-            await until(lambda: not w.proxy.driver.requests and w.proxy.driver.open == 0)
+            await until(lambda: not w.proxy.driver.requests and w.proxy.driver.open_requests == 0)
         await backend.stop()
     run(main())
 
@@ -110,7 +110,7 @@
             assert await client.status() >= 400
             with suppress(ConnectionError):
                 assert await client.closed()
-            await until(lambda: not w.proxy.front.connections)
+            await until(lambda: not w.proxy.frontend.connections)
             assert backend.requests == []
         await backend.stop()
     run(main())
@@ -124,7 +124,7 @@
             client.send("read", b"", "4000m", "Connection: close")
             client.writer.write(b"x" * 100_000)
             assert await client.status() == 200
-            await until(lambda: not w.proxy.front.connections)
+            await until(lambda: not w.proxy.frontend.connections)
         await backend.stop()
     run(main())
 
@@ -140,7 +140,7 @@
             client = await Client.to(w.port)
             client.writer.write(sent)
             await soon(client.reader.read())  # to its end
-            front = w.proxy.front
+            front = w.proxy.frontend
             await until(lambda: not front.connections)
             assert not any((front.silent, front.partial, front.idle))
     run(main())
@@ -232,7 +232,7 @@
     async def main() -> None:
         backend = await Backend().start()
         async with world([backend.row("b")]) as w:
-            w.proxy.front.most = 3
+            w.proxy.frontend.max_connections = 3
             idle, busy = await Client.to(w.port), await Client.to(w.port)
             idle.send()
             assert await idle.status() == 200
@@ -241,11 +241,11 @@
             busy.send()
             await soon(backend.came.wait())
             silent = await Client.to(w.port)
-            await until(lambda: len(w.proxy.front.silent) == 1)
+            await until(lambda: len(w.proxy.frontend.silent) == 1)
             third = await Client.to(w.port)
             assert await silent.closed()
             third.writer.write(b"GET /api HT")
-            await until(lambda: len(w.proxy.front.partial) == 1)
+            await until(lambda: len(w.proxy.frontend.partial) == 1)
             fourth = await Client.to(w.port)
             assert await third.closed()
             for client in (idle, fourth):
@@ -273,8 +273,8 @@
     async def main() -> None:
         backend = await Backend().start()
         async with world([backend.row("b")]) as w:
-            front = w.proxy.front
-            front.most = 8
+            front = w.proxy.frontend
+            front.max_connections = 8
             busy = await Client.to(w.port)
             backend.then = None
             busy.send()
@@ -283,7 +283,7 @@
             for _ in range(40):
                 crowd.append(await Client.to(w.port))  # who stay
                 assert await crowd[-1].ask(b"nonsense\r\n\r\n") == 400
-                assert len(front.connections) <= front.most
+                assert len(front.connections) <= front.max_connections
             for writer in list(backend.writers):
                 writer.write(reply())
             assert await busy.status() == 200
@@ -373,19 +373,19 @@
             loop = asyncio.get_running_loop()
             late = await Client.to(w.port)
             late.writer.write(b"GET /api HTTP/1.1\r\n")
-            await until(lambda: len(w.proxy.front.partial) == 1)
+            await until(lambda: len(w.proxy.frontend.partial) == 1)
             with socket.socket() as slow:
                 slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
                 slow.setblocking(False)
                 await loop.sock_connect(slow, ("127.0.0.1", w.port))
-                await until(lambda: len(w.proxy.front.silent) == 1)
-                (caller,) = w.proxy.front.silent
+                await until(lambda: len(w.proxy.frontend.silent) == 1)
+                (caller,) = w.proxy.frontend.silent
                 caller.transport.get_extra_info("socket").setsockopt(
                     socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
                 await loop.sock_sendall(
                     slow, b"GET /api HTTP/1.1\r\nX-Correlation-Id: slow\r\nX-Service-Class: read\r\n"
                     b"X-Time-Left: 4000m\r\n\r\n")
-                await until(w.proxy.front.writing)
+                await until(w.proxy.frontend.has_unwritten_data)
                 w.proxy.drain()
                 w.proxy._cut_off()
                 late.writer.write(
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -76,7 +76,7 @@
         self.closed: list[str] = []
         self.opening: set[Call] = set()
 
-    def known(self, endpoint: str) -> bool:
+    def has_endpoint(self, endpoint: str) -> bool:
         return endpoint in self.names
 
     def start(self, call: Call) -> None:
@@ -119,7 +119,7 @@
     ) -> None:
         self.answers.append((status, body, retry_after_ms))
 
-    def gone(self) -> bool:
+    def disconnected(self) -> bool:
         return False
 
 
@@ -137,7 +137,7 @@
         request, caller = http1.Request(), FakeCaller()
         request.id, request.class_name, request.left_ms = f"r{self.count}", "order", left_ms
         request.method, request.target, request.read_ms = b"POST", b"/api", self.clock.ms
-        assert self.driver.arrived(request, caller)
+        assert self.driver.request_arrived(request, caller)
         self.loop.turn()
         return request, caller
 
@@ -183,7 +183,7 @@
     bench.script.on = send_each
     _, caller = bench.arrive()
     bench.clock.ms += 15.0
-    bench.transport.started[0].left_ms = bench.clock.ms
+    bench.transport.started[0].written_ms = bench.clock.ms
     bench.clock.ms += 25.0
     bench.transport.started[0].ended(O.OK, ok())
     assert caller.answers == [(200, b"tile", 0.0)]
@@ -191,7 +191,7 @@
     (event,) = bench.events(api.AttemptEnded)
     assert event == api.AttemptEnded("r1", 0, O.OK, 40.0, True, None, "b1", waited_ms=15.0)
     assert bench.driver.requests == {}
-    assert bench.driver.open == 0
+    assert bench.driver.open_requests == 0
 
 
 def test_events_come_one_at_a_time_and_actions_do_not_re_enter(bench: Bench) -> None:
@@ -213,13 +213,13 @@
     request, _ = bench.arrive()
     bench.script.on = on_timer(api.Send("r1", "b2", 0.0))
     for _ in range(3):  # the third is past the most attempts, which are three
-        bench.driver._woken(0.0, "t")
+        bench.driver._timer_fired(0.0, "t")
         bench.loop.turn()
     assert len(bench.transport.started) == 3
     assert bench.outcomes() == [(3, O.NOT_SENT, False)]
-    bench.driver.gone(request)
+    bench.driver.client_disconnected(request)
     bench.loop.turn()
-    bench.driver._woken(0.0, "t")  # the request is over
+    bench.driver._timer_fired(0.0, "t")  # the request is over
     bench.loop.turn()
     assert len(bench.transport.started) == 3
     assert bench.outcomes()[-1] == (4, O.NOT_SENT, True)
@@ -227,7 +227,7 @@
 
 def test_a_send_for_a_request_that_is_not_in_the_table_is_told_and_not_sent(bench: Bench) -> None:
     bench.script.on = on_timer(api.Send("nobody", "b1", 0.0))
-    bench.driver._woken(0.0, "t")
+    bench.driver._timer_fired(0.0, "t")
     bench.loop.turn()
     assert bench.transport.started == []
     assert bench.outcomes() == [(0, O.NOT_SENT, True)]
@@ -259,7 +259,7 @@
     _, caller = bench.arrive(1000.0)
     held = bench.driver.requests["r1"]
     bench.clock.ms = held.deadline_ms - 0.5  # the timer comes a little early
-    bench.driver._overdue(held)
+    bench.driver._deadline_reached(held)
     bench.loop.turn()
     assert [call.endpoint for call in bench.transport.started] == ["b1"]
     assert caller.answers == [(502, b"", 0.0)]
@@ -270,7 +270,7 @@
     request, caller = http1.Request(), FakeCaller()
     request.id, request.class_name, request.left_ms = "r9", "order", 1000.0
     request.read_ms = bench.clock.ms - 300.0  # it waited behind another one on its connection
-    assert bench.driver.arrived(request, caller)
+    assert bench.driver.request_arrived(request, caller)
     bench.loop.turn()
     (event,) = bench.events(api.RequestArrived)
     assert isinstance(event, api.RequestArrived)
@@ -299,7 +299,7 @@
 def test_after_the_client_has_gone_an_attempt_still_gets_its_end(bench: Bench) -> None:
     bench.script.on = send_each
     request, caller = bench.arrive()
-    bench.driver.gone(request)
+    bench.driver.client_disconnected(request)
     bench.loop.turn()
     assert bench.transport.aborted == []
     bench.transport.started[0].ended(O.OK, ok())
@@ -312,7 +312,7 @@
 def test_a_silent_attempt_of_a_client_that_has_gone_ends_at_its_time(bench: Bench) -> None:
     bench.script.on = send_each
     request, _ = bench.arrive(1000.0)
-    bench.driver.gone(request)
+    bench.driver.client_disconnected(request)
     bench.loop.advance(1000.0)
     assert bench.outcomes() == [(0, O.TIMEOUT, True)]
     assert bench.driver.requests == {}
@@ -342,11 +342,11 @@
     sent, opening = bench.transport.started
     bench.transport.opening = {opening}
     if how == "gone":
-        bench.driver.gone(request)
+        bench.driver.client_disconnected(request)
     elif how == "answered":
         sent.ended(O.OK, ok())
     else:
-        bench.driver.fail_all()
+        bench.driver.fail_open_requests()
     bench.loop.turn()
     assert bench.transport.aborted == [opening]
     sent.ended(O.OK, ok())
@@ -360,7 +360,7 @@
     bench.script.on = send_each
     bench.arrive()
     bench.script.on = on_timer(api.Cancel("r1", 0), api.Cancel("r1", 0), api.Cancel("r1", 7))
-    bench.driver._woken(0.0, "t")
+    bench.driver._timer_fired(0.0, "t")
     bench.loop.turn()
     assert bench.transport.aborted == bench.transport.started
     assert bench.outcomes() == [(0, O.CANCELLED, False)]
@@ -437,14 +437,14 @@
 def test_word_from_discovery_goes_before_what_waits(bench: Bench) -> None:
     request, caller = http1.Request(), FakeCaller()
     request.id, request.class_name, request.left_ms, request.read_ms = "r1", "order", 1000.0, bench.clock.ms
-    bench.driver.arrived(request, caller)
-    bench.driver.listed(api.EndpointsListed(api.ListKind.CHANGES))
+    bench.driver.request_arrived(request, caller)
+    bench.driver.discovery_event(api.EndpointsListed(api.ListKind.CHANGES))
     bench.loop.turn()
     assert [type(e) for _, e in bench.script.seen] == [api.EndpointsListed, api.RequestArrived]
 
 
 def test_timers_never_come_early(bench: Bench) -> None:
-    bench.driver._perform(api.SetTimer(bench.clock.ms + 50.0, "t"))
+    bench.driver._execute(api.SetTimer(bench.clock.ms + 50.0, "t"))
     (timer,) = bench.loop.timers
     bench.clock.ms += 49.5
     timer.dead = True
@@ -456,16 +456,16 @@
 
 
 def test_reports_follow_the_order_of_the_settings_and_either_name(bench: Bench) -> None:
-    assert bench.driver._report(b"busy_reqs=7,pending=2") == (2.0, 7.0)
-    assert bench.driver._report(b"inflight=1, queue=3,in_flight=4") == (3.0, 4.0)
-    assert bench.driver._report(b"pending=2") is None
-    assert bench.driver._report(b"pending=x,busy_reqs=1") is None
-    assert bench.driver._report(None) is None
+    assert bench.driver._load_report(b"busy_reqs=7,pending=2") == (2.0, 7.0)
+    assert bench.driver._load_report(b"inflight=1, queue=3,in_flight=4") == (3.0, 4.0)
+    assert bench.driver._load_report(b"pending=2") is None
+    assert bench.driver._load_report(b"pending=x,busy_reqs=1") is None
+    assert bench.driver._load_report(None) is None
 
 
 def test_probes_end_once_with_what_they_found(bench: Bench) -> None:
     bench.script.on = on_timer(api.Probe("b1"), api.Probe("b2"), api.Probe("b9"))
-    bench.driver._woken(0.0, "t")
+    bench.driver._timer_fired(0.0, "t")
     bench.loop.turn()
     response = ok(b"pending=1,busy_reqs=2")
     bench.transport.started[0].ended(O.OK, response)
@@ -477,15 +477,15 @@
 
 def test_an_id_in_the_table_is_not_taken_twice(bench: Bench) -> None:
     request, _ = bench.arrive()
-    assert not bench.driver.arrived(request, FakeCaller())
-    assert bench.driver.open == 1
+    assert not bench.driver.request_arrived(request, FakeCaller())
+    assert bench.driver.open_requests == 1
 
 
 def test_the_bound_on_open_requests(bench: Bench) -> None:
     bench.arrive()
-    assert not bench.driver.full()
+    assert not bench.driver.at_capacity()
     bench.arrive()
-    assert bench.driver.full()
+    assert bench.driver.at_capacity()
 
 
 def test_every_request_gets_one_answer_whatever_happens(bench: Bench) -> None:
@@ -510,11 +510,11 @@
         if choice.random() < 0.1:
             if not caller.answers:
                 left.add(request.id)
-            bench.driver.gone(request)
+            bench.driver.client_disconnected(request)
         bench.loop.turn()
         bench.loop.advance(choice.uniform(0.0, 20.0))
     bench.loop.advance(1000.0)
     assert bench.driver.requests == {}
-    assert bench.driver.open == 0
+    assert bench.driver.open_requests == 0
     for name, caller in callers:
         assert len(caller.answers) == (0 if name in left else 1)
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -97,7 +97,7 @@
             caller.send(*[f"r{i}" for i in range(arrive)])
             await over(w, 1 + arrive)
             assert (len(backend.requests), backend.connections) == (1 + sent, 1)
-            assert w.proxy.driver.open == 0
+            assert w.proxy.driver.open_requests == 0
         await backend.stop()
     run(main())
 
@@ -127,8 +127,8 @@
         backend = await Backend().start()
         async with world([backend.row("b")]) as w:
             caller = Caller(w, "cancels")
-            await until(lambda: bool(w.proxy.front.connections))
-            (connection,) = w.proxy.front.connections
+            await until(lambda: bool(w.proxy.frontend.connections))
+            (connection,) = w.proxy.frontend.connections
             small = connection.transport.get_extra_info("socket")
             small.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             backend.script = [reply(200, b"x" * 1_000_000), None]
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -120,7 +120,7 @@
         backend = await Backend().start()
         loop = asyncio.get_running_loop()
         pool = Pool(loop, Clock(), api.Limits(connect_timeout_ms=20000.0), 10)
-        pool.name("b", ("127.0.0.1", backend.port), None, open_for_work=True)
+        pool.set_endpoint("b", ("127.0.0.1", backend.port), None, open_for_work=True)
         gate = TooLate(loop)
         pool.loop = gate  # type: ignore[assignment]
         if lost_first:
@@ -141,13 +141,13 @@
         backend, other = await Backend().start(), await Backend().start()
         where = ("127.0.0.1", backend.port)
         pool = Pool(asyncio.get_running_loop(), Clock(), api.Limits(connect_timeout_ms=2000.0), 10)
-        pool.name("b", where, 1.0, open_for_work=True)
+        pool.set_endpoint("b", where, 1.0, open_for_work=True)
         call = Ending(b"x")
         pool.start(call)
         if change == "leaves":
-            pool.forget("b")
+            pool.remove_endpoint("b")
         else:
-            pool.name(
+            pool.set_endpoint(
                 "b", ("127.0.0.1", other.port) if change == "moves" else where,
                 2.0 if change == "starts anew" else 1.0, open_for_work=change != "drains")
         await soon(call.outcome.wait())
@@ -169,7 +169,7 @@
             deaf.setblocking(False)
             loop = asyncio.get_running_loop()
             pool = Pool(loop, Clock(), api.Limits(connect_timeout_ms=2000.0), 10)
-            pool.name("b", deaf.getsockname(), None, open_for_work=True)
+            pool.set_endpoint("b", deaf.getsockname(), None, open_for_work=True)
             call = Ending(b"x" * (64 << 20))
             pool.start(call)
             peer, _ = await soon(loop.sock_accept(deaf))
@@ -210,7 +210,7 @@
             loop = asyncio.get_running_loop()
             small = SmallBuffers(loop)
             pool = Pool(small, Clock(), api.Limits(connect_timeout_ms=2000.0), 10)  # type: ignore[arg-type]
-            pool.name("b", listener.getsockname(), None, open_for_work=True)
+            pool.set_endpoint("b", listener.getsockname(), None, open_for_work=True)
             call = Ending(b"x" * 20_000)
             pool.start(call)
             peer, _ = await soon(loop.sock_accept(listener))
@@ -437,11 +437,11 @@
     async def main() -> None:
         first, second = await Backend().start(), await Backend().start()
         pool = Pool(asyncio.get_running_loop(), Clock(), api.Limits(connect_timeout_ms=2000.0), 1)
-        pool.name("b", ("127.0.0.1", first.port), None, open_for_work=True)
+        pool.set_endpoint("b", ("127.0.0.1", first.port), None, open_for_work=True)
         one = Ending(b"")
         pool.start(one)
         await soon(one.outcome.wait())
-        pool.name("c", ("127.0.0.1", second.port), None, open_for_work=True)
+        pool.set_endpoint("c", ("127.0.0.1", second.port), None, open_for_work=True)
         second.then = None
         two, three = Ending(b""), Ending(b"")
         two.endpoint = three.endpoint = "c"
@@ -463,7 +463,7 @@
         backend = await Backend().start()
         backend.script = [reply(200, b"pending=4,busy_reqs=5")]
         async with world([backend.row("b")]) as w:
-            w.proxy.driver._perform(api.Probe("b"))
+            w.proxy.driver._execute(api.Probe("b"))
             await until(lambda: any(isinstance(e, api.ProbeEnded) for e in w.events))
             (event,) = [e for e in w.events if isinstance(e, api.ProbeEnded)]
             assert (event.endpoint, event.outcome, event.report) == ("b", O.OK, (4.0, 5.0))
@@ -498,7 +498,7 @@
         backend = await Backend().start()
         loop = asyncio.get_running_loop()
         pool = Pool(loop, Clock(), api.Limits(connect_timeout_ms=2000.0), 10)
-        pool.name("b", ("127.0.0.1", backend.port), None, open_for_work=True)
+        pool.set_endpoint("b", ("127.0.0.1", backend.port), None, open_for_work=True)
         first = Ending(b"1")
         pool.start(first)
         await soon(first.outcome.wait())
@@ -539,7 +539,7 @@
     async def main() -> None:
         backend = await Backend().start()
         pool = Pool(asyncio.get_running_loop(), Clock(), api.Limits(connect_timeout_ms=2000.0), 10)
-        pool.name("b", ("127.0.0.1", backend.port), None, open_for_work=True)
+        pool.set_endpoint("b", ("127.0.0.1", backend.port), None, open_for_work=True)
         first = Ending(b"1")
         pool.start(first)
         await soon(first.outcome.wait())
