Dial no backend over and over that refuses while an earlier connection is late

Read in the new dialling code: a connection that failed at once, refused or for want of a descriptor, while an earlier one was still coming up left a call waiting with no connection in time, so that the next was dialled at once, until the call's time was up. At fault: the end of Pool._open. A refusal now ends the call that has waited longest, a lack of descriptors starts nothing, and only a time-out dials again. Refused connections no longer count among the connect times, which they made look shorter.

--- a/honeywharf/net/upstream.py
+++ b/honeywharf/net/upstream.py
@@ -231,18 +231,30 @@
         backend.dials.discard(dial)
         if dial.timer is not None:
             dial.timer.cancel()
-        if outcome is not api.Outcome.NOT_SENT:
-            self.connect_times.add(self.clock.now() - dial.started_ms)
         if connection.closed or connection.transport.is_closing():
             connection.drop()
-            self._fail_excess(backend, outcome)
-            self._dial_for_waiting(backend)
+            self._dial_failed(dial, backend, outcome)
             return
+        self.connect_times.add(self.clock.now() - dial.started_ms)
         if not dial.late:
             backend.late_in_a_row = 0
         self.release(connection)
         self._serve_waiting(backend)
 
+    def _dial_failed(self, dial: Dial, backend: Backend, outcome: api.Outcome) -> None:
+        """Go on without the connection. What fails at once is not dialled again for the same call.
+
+        Guards against dialling a backend that refuses over and over while another connection to it is late.
+        """
+        if outcome is api.Outcome.NOT_SENT:
+            self._fail_excess(backend, outcome)
+            return
+        if outcome is api.Outcome.CONNECT_TIMEOUT:
+            self.connect_times.add(self.clock.now() - dial.started_ms)
+        elif backend.waiting:
+            self._fail_waiting(next(iter(backend.waiting)), backend, outcome)
+        self._dial_for_waiting(backend)
+
     def release(self, connection: Connection) -> None:
         """Return the connection to its backend's idle ones, unless the backend takes no more calls."""
         if not connection.backend.open_for_work:
--- a/tests/test_dialing.py
+++ b/tests/test_dialing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from typing import Any
 
 import pytest
@@ -17,7 +18,12 @@
 
 
 class Late:
-    """The loop, except that the connections with these numbers, from 0, come up only once they are let."""
+    """The loop, except that the connections with these numbers, from 0, come up only once they are let.
+
+    All others fail with `fault`, where one is set.
+    """
+
+    fault: OSError | None = None
 
     def __init__(self, loop: asyncio.AbstractEventLoop, *numbers: int) -> None:
         self.loop, self.numbers, self.dialled = loop, numbers, 0
@@ -30,6 +36,8 @@
         number, self.dialled = self.dialled, self.dialled + 1
         if number in self.numbers:
             await self.let.wait()
+        elif self.fault is not None:
+            raise self.fault
         return await self.loop.create_connection(*args)
 
 
@@ -158,6 +166,36 @@
     run(main())
 
 
+def test_a_backend_that_refuses_while_a_connection_is_late_is_not_dialled_over_and_over() -> None:
+    async def main() -> None:
+        backend = await Backend().start()
+        pool, loop = make_pool(backend, 0)
+        loop.fault = ConnectionRefusedError(errno.ECONNREFUSED, "refused")
+        (call,) = start(pool, b"")
+        await soon(call.outcome.wait())
+        assert (call.outcomes, loop.dialled) == ([O.CONNECT_FAILED], 2)
+        await backend.stop()
+    run(main())
+
+
+def test_a_lack_of_descriptors_ends_no_call_whose_connection_still_comes_up() -> None:
+    async def main() -> None:
+        backend = await Backend().start()
+        pool, loop = make_pool(backend, 0)
+        loop.fault = OSError(errno.EMFILE, "no descriptor")
+        (call,) = start(pool, b"")
+        await until(lambda: loop.dialled == 2 and len(pool.tasks) == 1)
+        loop.let.set()
+        await soon(call.outcome.wait())
+        assert (call.outcomes, loop.dialled) == ([O.OK], 2)
+        pool.backends["b"].idle[0].answered_ms += 1e6  # as if it never settled
+        (call,) = start(pool, b"")  # and where none does, the backend is not to blame
+        await soon(call.outcome.wait())
+        assert (call.outcomes, pool.count) == ([O.NOT_SENT], 1)
+        await backend.stop()
+    run(main())
+
+
 @pytest.mark.parametrize("change", ["drains", "leaves", "starts anew", "moves"])
 def test_a_change_of_the_backend_ends_what_waits_at_once(change: str) -> None:
     """All connections are still coming up when the word comes, and nothing leaves on them later."""
