Split outlier detection and the host set from Balancer into modules of their own

Moved to honeywharf/policy/outlier.py (OutlierDetector, LatencyBaseline): _judge is record (with _record_success, _record_failure and _update_failure_rate), _suspect is _add_score and record_hung_call, _hurried is _had_short_deadline, _time is LatencyBaseline.add, and _stands_out and _eject (now eject), with their constants. The limits that find hung calls are asked of LatencyBaseline. Moved to honeywharf/policy/host_set.py (HostSet, AnswerRate): servers, zones and levels, the list's update, _review (refresh), _warmth (_warm_fraction), _space (schedule_warm_up_call), _can_spare and the rate of answers.

Renamed on Server: suspicion anomaly_score, failing failure_rate, failures consecutive_failures, pauses consecutive_ejections, usable_at ejected_until, pace relative_latency, silent class_ejected_until, errors class_errors, cold warming_up, next_ms next_call_ms. Elsewhere: typical_ms LatencyBaseline.expected_ms, heard samples, even_rate AnswerRate.peak, least_rate min_rate, served answers, reviewed_ms updated_ms, review_at refresh_due_ms. Constants, values unchanged: DEAD_AFTER CONSECUTIVE_FAILURES, SLOW_FROM SLOW_LATENCY, STRAIN_MOST MAX_SCORE_STEP, SUSPECT_AT EJECTION_SCORE, FAILING_OVER FAILURE_RATE_CALLS, OUTLIER_FROM OUTLIER_FAILURE_RATE, PAUSE_MS BASE_EJECTION_MS, FULL_MS OVERLOAD_EJECTION_MS, PACE_OVER RELATIVE_LATENCY_ANSWERS, SILENT_MS CLASS_EJECTION_MS, CLASS_ERRORS CONSECUTIVE_CLASS_ERRORS, HUNG_AFTER HUNG_LATENCY, TYPICAL_OVER BASELINE_ANSWERS, REVIEW_MS REFRESH_INTERVAL_MS, EVEN_PACE FULL_SHARE_LATENCY, FIRST_CALLS INITIAL_CALLS, COLD_MARGIN WARM_UP_MARGIN, RATE_OVER_MS RATE_WINDOW_MS, RATE_ANSWERS RATE_WINDOW_ANSWERS, RATE_KEPT_MS PEAK_DECAY_MS. New names for literals: MIN_LATENCY_SHARE, MAX_EJECTION_DOUBLINGS, EJECTION_JITTER. Tests: only the paths of attributes change.

--- a/honeywharf/brain.py
+++ b/honeywharf/brain.py
@@ -1,9 +1,10 @@
-"""Every decision of the balancer; its types, events and actions are in honeywharf/interface.py.
+"""The balancer: events in, actions out; its types, events and actions are in honeywharf/interface.py.
 
 A call goes to a uniformly random usable server of the balancer's own zone, and to any zone only when the
-own zone has no usable server. The rest of this file says which servers are usable, and what happens to a
-request when an attempt fails; the state that it keeps is in honeywharf/policy/. It reads top to bottom: list,
-choice, requests, outcomes, health.
+own zone has no usable server. Which servers are usable is decided in honeywharf/policy/: host_set.py keeps
+the listed servers, outlier.py ejects those that fail, concurrency.py limits the calls in flight. This file
+takes the events in order, chooses the server, and decides what happens to a request when an attempt fails. It
+reads top to bottom: list, choice, requests, outcomes.
 """
 
 from __future__ import annotations
@@ -14,28 +15,15 @@
 
 from honeywharf import interface as api
 from honeywharf.policy.concurrency import WORTH_POWER, Zone
+from honeywharf.policy.host_set import HostSet
+from honeywharf.policy.outlier import OutlierDetector
 from honeywharf.policy.quota import TenantQuota
 from honeywharf.policy.request import Attempt, KeyQueue, Request
 from honeywharf.policy.server import Server
 
 PICKS = 8  # random picks at a level before it counts as empty: finds a half-usable level 255 times in 256
-REVIEW_MS = 250.0  # how often slowly changing judgements are renewed: short against any trouble
-DEAD_AFTER = 4  # failures in a row; a failed connection counts twice: a dead process refuses the next one too
-SLOW_FROM = 1.7  # times the typical answer time: what is beyond adds to the suspicion, less takes from it
-STRAIN_MOST = 3.0  # what one call can add, a failed one included: no server is judged by a single call
-SUSPECT_AT = 6.0  # suspicion that ejects: by chance alone about once in some hundred calls
-FAILING_OVER = 6  # calls over which the part that fails is formed
-OUTLIER_FROM = 0.25  # of its calls, over twice what is usual: a server that fails so many stands out
-PAUSE_MS = 2500.0  # first ejection: long enough for a crowded server to empty; doubled up to 4 times that
-PACE_OVER = 6  # answers over which a server's own pace, in typical answer times, is formed
-EVEN_PACE = 1.2  # up to here a server keeps its even share; a slower one gets less, in the square of its pace
-SILENT_MS = 10000.0  # without calls of a class that got no answer there: each trial may cost a request
-CLASS_ERRORS = 2  # errors in a row of one class: one alone may be chance, or a tier behind
 LINE_MS = 50.0  # about a call's turn in discovery's line: such a pause for each balancer lets all have one
 LEAST_PAUSE_MS = 500.0  # but not under that. Guards against lists that are overdue for the pause alone
-FULL_MS = 1000.0  # pause after a refusal: a server that is full needs that long to work its queue down
-HUNG_AFTER = 3.0  # typical answer times: about one answer in some hundred comes that late by chance
-TYPICAL_OVER = 30  # answers over which the typical answer time is formed
 RETRY_RATIO = 0.1  # retries earned by each first attempt: a tenth more load at most when all fails
 RETRY_BURST = 5.0  # retries a quiet balancer may make at once
 REJECTED_COST = 0.25  # of a retry: turned away unseen is little load; giving up wastes the tiers above
@@ -44,12 +32,6 @@
     api.Outcome.CONNECT_FAILED, api.Outcome.CONNECT_TIMEOUT, api.Outcome.NOT_SENT, api.Outcome.CANCELLED})
 COME_BACK_MS = (200.0, 600.0)  # in which a refused client may come back: a jam's answers take about that long
 TARGET = 0.5  # of its aim that an answer may take before a zone counts as crowded; the rest is for chance
-# Calls that a server of which nothing is known may hold, for itself and each tier below: one in work and one
-FIRST_CALLS = 2.0  # that waits for it. With one alone a core idles whenever its call waits for anything else
-COLD_MARGIN = 3.0  # of the multiple that pushes a cold server over, a third: calls come by chance and differ
-RATE_OVER_MS = 5000.0  # over which the rate of answers is formed,
-RATE_ANSWERS = 20.0  # and over so many answers at least: by chance the highest is then a fifth too high
-RATE_KEPT_MS = 60000.0  # in which the highest fades: what a server could do is known when nothing answers
 OVER_SHARE_ROOM = 0.25  # part of a limit open to tenants over their share: the rest is kept for the others
 
 
@@ -60,24 +42,17 @@
         self.settings = settings
         self.random = random.Random(seed)
         self.classes = {c.name: c for c in settings.classes}
-        self.servers: dict[str, Server] = {}
+        self.host_set = HostSet(settings, self.random)
+        self.outliers = OutlierDetector(self.host_set, self.random)
         self.requests: dict[str, Request] = {}
         self.lines: dict[str, KeyQueue] = {}  # by key: one key space over all ordered classes
         self.rests: deque[tuple[float, str]] = deque()  # when keys have rested: all rest equally long
         self.turns: deque[str] = deque()  # keys whose first request may have the turn now
         self.waiting: list[tuple[float, str]] = []  # a heap: deadlines of requests that wait for their turn
         self.tenants = {t.name: t for t in settings.tenants}
-        self.zones: dict[str, Zone] = {}
         self.buckets: dict[str, TenantQuota] = {}
-        self.typical_ms: dict[str, float] = {}
-        self.heard: dict[str, int] = {}  # answers that the typical time is the mean of
         self.mean_worth = max(c.worth for c in settings.classes) or 1.0
-        self.levels: list[list[Server]] = [[], [], []]
-        self.review_at, self.retry_tokens = 0.0, RETRY_BURST
-        self.served, self.reviewed_ms = 0, 0.0  # answers since the last review
-        aim = max(c.aim_ms for c in settings.classes)
-        # Answers a ms of a warm server, to this balancer: at least one for each aim, over all balancers.
-        self.even_rate = self.rate = self.least_rate = 1.0 / (aim * settings.balancers)
+        self.retry_tokens = RETRY_BURST
         self.failed_watches, self.now = 0, 0.0
         self.overdue = False  # what the list held may lack counts as told
         self.actions: list[api.Action] = []
@@ -111,7 +86,7 @@
         return " ".join(
             f"{name or '-'}[usable={(z.spare + 2 * z.ready) // 3}/{z.ready} calls={z.in_flight} "
             f"limit={z.limit * z.capacity:.1f} lateness={z.lateness:.2f}]"
-            for name, z in sorted(self.zones.items()))
+            for name, z in sorted(self.host_set.zones.items()))
 
     def _woken(self, token: str) -> None:
         if token == "watch":
@@ -140,86 +115,19 @@
             self._watch_soon(min(longest, most, longest / 10 * 2 ** self.failed_watches))
             return
         self.failed_watches, self.overdue = 0, False
-        if event.kind is not api.ListKind.CHANGES:
-            named = {e.id for e in event.endpoints}
-            for gone in [key for key in self.servers if key not in named]:
-                del self.servers[gone]
-        for endpoint in event.endpoints:
-            self.zones.setdefault(endpoint.zone, Zone())
-            known = self.servers.get(endpoint.id)
-            if endpoint.state is api.EndpointState.GONE:
-                self.servers.pop(endpoint.id, None)
-            elif known is None or known.endpoint.started_ms != endpoint.started_ms:
-                known = self.servers[endpoint.id] = Server(endpoint)  # a new process has a clean record
-                if self._warmth(endpoint) < 1.0:
-                    self._space(known, 0.0, 1.0)
-            else:
-                known.endpoint = endpoint
-        self._review()
-
-    def _review(self) -> None:
-        """Renew each server's share and the levels: own zone, every zone, and all that is ready."""
-        self.review_at = self.now + REVIEW_MS
-        ready = [s for s in self.servers.values() if s.endpoint.state is api.EndpointState.READY]
-        for server in ready:
-            fitness = min(1.0, EVEN_PACE / server.pace) ** 2
-            warmth = self._warmth(server.endpoint)
-            server.cold, server.share = warmth < 1.0, warmth * max(0.2, fitness)
-        # Ejection never leaves a live fleet unusable: with none usable, all that are ready count as usable.
-        usable = [s for s in ready if s.usable_at <= self.now] or ready
-        span = max(1.0, self.now - self.reviewed_ms)
-        shares = sum(s.share for s in usable) or 1.0
-        weight = min(1.0, span / max(RATE_OVER_MS, RATE_ANSWERS / (self.rate * shares)))
-        self.rate = max(self.least_rate, self.rate + (self.served / span / shares - self.rate) * weight)
-        self.even_rate = max(self.rate, self.even_rate * (1.0 - min(1.0, span / RATE_KEPT_MS)))
-        self.served, self.reviewed_ms = 0, self.now
-        self.levels = [[s for s in usable if s.endpoint.zone == self.settings.zone], usable, usable]
-        first = FIRST_CALLS * (self.settings.tiers - self.settings.tier) * self.settings.zones
-        first /= self.settings.balancers
-        for zone in self.zones.values():
-            zone.limit, zone.first = zone.limit or first, first  # the limit keeps what it has learned
-            zone.spare, zone.ready, zone.capacity = 0, 0, 0.0
-        for server in ready:
-            self.zones[server.endpoint.zone].spare -= 2
-            self.zones[server.endpoint.zone].ready += 1
-        mean_size = sum(s.endpoint.size for s in ready) / max(1, len(ready)) or 1.0
-        for server in usable:
-            server.capacity = server.share * server.endpoint.size / mean_size
-            # Guards against pushing over the first cold servers of a zone that has lost all others.
-            self.zones[server.endpoint.zone].capacity += server.capacity
-            self.zones[server.endpoint.zone].spare += 3
-
-    def _warmth(self, endpoint: api.Endpoint) -> float:
-        """The part of its capacity that a server has at least, by the time since it started.
-
-        Guards against pushing over a cold server: its part of the calls never exceeds its part of capacity.
-        """
-        rules = self.settings.rules
-        if endpoint.started_ms is None or rules.warm_after_ms <= 0:
-            return 1.0
-        age = max(0.0, self.now - endpoint.started_ms) / rules.warm_after_ms
-        return min(1.0, rules.cold_share + (1.0 - rules.cold_share) * age)
-
-    def _space(self, server: Server, least: float, most: float) -> None:
-        """Set when the cold server may get its next call from this balancer.
-
-        Guards against pushing it over: all balancers together send its part of what warm servers answered.
-        """
-        part = self.settings.rules.cold_multiple / COLD_MARGIN * self._warmth(server.endpoint)
-        server.next_ms = self.now + self.random.uniform(least, most) / (part * self.even_rate)
+        self.host_set.update(event, self.now)
 
     # The choice.
 
     def _choose(self, request: Request) -> Server | None:
         """An even random choice in the first level where a few picks find a usable server."""
-        if self.now >= self.review_at:
-            self._review()
+        self.host_set.refresh_if_due(self.now)
         if self.overdue:
             # Guards against sending to a server whose drain or end counts as told: each one listed may have
             # begun to drain, and that it answers shows nothing, as draining servers take calls too.
             return None
-        home, chance = self.zones.get(self.settings.zone), self.random.random()
-        for depth, level in enumerate(self.levels):
+        home, chance = self.host_set.zones.get(self.settings.zone), self.random.random()
+        for depth, level in enumerate(self.host_set.levels):
             crowded = home is not None and not home.has_room(request.room, chance)
             if depth == 0 and crowded and self.settings.tier == 0:
                 continue  # deeper down a refusal would only become a retry above
@@ -236,9 +144,10 @@
         sheds = self.settings.tier == 0  # deeper down the last level takes what no server has room for
         for _ in range(PICKS if level else 0):
             server = level[int(self.random.random() * len(level))]
-            if (server is tried and len(level) > 1) or (server.cold and self.now < server.next_ms):
+            if (server is tried and len(level) > 1) or (
+                    server.warming_up and self.now < server.next_call_ms):
                 continue
-            zone = self.zones[server.endpoint.zone]
+            zone = self.host_set.zones[server.endpoint.zone]
             if depth > 0 and sheds and not zone.has_room(request.room, chance):
                 continue
             if (depth < 2 or sheds) and not zone.has_room(request.room, chance, server):
@@ -251,9 +160,10 @@
 
     def _answers(self, server: Server, request: Request) -> bool:
         """Whether the server is known to answer; half open, it gets one repeatable call at a time."""
-        if server.pauses and (server.calls or request.cls.effect is api.Effect.ONCE):
+        if server.consecutive_ejections and (server.calls or request.cls.effect is api.Effect.ONCE):
             return False
-        return not server.silent or server.silent.get(request.cls.name, 0.0) <= self.now
+        ejected_until = server.class_ejected_until
+        return not ejected_until or ejected_until.get(request.cls.name, 0.0) <= self.now
 
     # Requests.
 
@@ -314,14 +224,14 @@
         self._send(request, server)
 
     def _send(self, request: Request, server: Server) -> None:
-        zone = self.zones[server.endpoint.zone]
+        zone = self.host_set.zones[server.endpoint.zone]
         leave_within_ms = request.latest_repeat() - self.now
         attempt = Attempt(request.id, server, zone, self.now, self.now, server.ejections)
         request.attempts.append(attempt)
         server.calls[attempt] = None
         zone.in_flight += 1
-        if server.cold:
-            self._space(server, 0.5, 1.5)
+        if server.warming_up:
+            self.host_set.schedule_warm_up_call(server, 0.5, 1.5, self.now)
         self.actions.append(api.Send(
             request.id, server.endpoint.id, request.deadline - self.now, leave_within_ms))
 
@@ -357,7 +267,7 @@
         attempt.release()
         if attempt.ejections == attempt.server.ejections and not attempt.hangs:  # else this is old news
             self._teach(attempt.zone, request, event)
-            self._judge(attempt.server, request, event)
+            self.outliers.record(attempt.server, request, event, self.now)
         if request.key and event.outcome in api.STILL_RUNS:
             # Guards order: the endpoint may be at work on it yet, so the key rests.
             self.lines[request.key].rests_until = self.now + self.settings.rules.turn_gap_ms
@@ -398,22 +308,22 @@
         its zone until its time is up, which shuts the gate before idle servers, and its request fails.
         Could hurt where work differs much within a class: long calls then run twice.
         """
-        typical = self.typical_ms.get(cls.name, 0.0)
-        if self.now - answered.sent_ms > SLOW_FROM * typical or self.heard.get(cls.name, 0) < TYPICAL_OVER:
+        latency = self.outliers.latency
+        if self.now - answered.sent_ms > latency.slow_ms(cls.name) or not latency.is_settled(cls.name):
             return
         hung = []
         for call in answered.server.calls:
             request = self.requests.get(call.request)
             if request is None or call.sent_ms >= answered.sent_ms:
                 break
-            if self.now - call.sent_ms > HUNG_AFTER * self.typical_ms.get(request.cls.name, float("inf")):
+            if self.now - call.sent_ms > latency.hung_ms(request.cls.name):
                 hung.append((call, request))
         for call, request in hung:
             call.hangs = True
             del call.server.calls[call]
             call.release()
             if call.ejections == call.server.ejections:
-                self._suspect(call.server, STRAIN_MOST)
+                self.outliers.record_hung_call(call.server, self.now)
             self._copy(request)
 
     def _copy(self, request: Request) -> None:
@@ -427,99 +337,3 @@
         if server is not None:
             self.retry_tokens -= 1.0
             self._send(request, server)
-
-    # Health.
-
-    def _judge(self, server: Server, request: Request, event: api.AttemptEnded) -> None:
-        """Eject a server whose recent calls failed, or came far later than is typical (a running sum)."""
-        if event.outcome in (api.Outcome.CANCELLED, api.Outcome.NOT_SENT) or self._hurried(request, event):
-            return
-        strain = STRAIN_MOST
-        if event.outcome is not api.Outcome.REJECTED:
-            failed = 0.0 if event.outcome is api.Outcome.OK else 1.0
-            known = failed if server.failing is None else server.failing
-            server.failing = known + (failed - known) / FAILING_OVER
-        if event.outcome is api.Outcome.OK:
-            typical = self.typical_ms.get(request.cls.name, event.served_ms)
-            pace = min(event.served_ms / max(typical, 1.0), STRAIN_MOST + SLOW_FROM)
-            server.pace += (pace - server.pace) / PACE_OVER
-            strain = pace - SLOW_FROM
-            self._time(request.cls.name, typical, event.served_ms)
-            server.failures = 0
-            server.silent.pop(request.cls.name, None)
-            server.errors.pop(request.cls.name, None)
-            self.served += 1
-            if strain < 0:
-                server.pauses = 0
-        else:
-            errors = 0
-            if event.outcome is api.Outcome.ERROR:
-                errors = server.errors[request.cls.name] = server.errors.get(request.cls.name, 0) + 1
-            if (event.outcome is api.Outcome.TIMEOUT and server.failures > 0) or (errors >= CLASS_ERRORS and (
-                    request.cls.name in server.silent or self._stands_out(server))):
-                # Guards against a server that answers none of a class, or with errors: trial calls of one
-                # that it serves would bring it back for all. One alone may be a connection fallen silent.
-                server.silent[request.cls.name] = self.now + SILENT_MS * self.random.uniform(0.75, 1.25)
-            # A refused connection shows a dead process; one that did not come up in time may be chance.
-            server.failures += 2 if event.outcome is api.Outcome.CONNECT_FAILED else 1
-        if event.outcome is api.Outcome.REJECTED:
-            # Guards against filling each slot of a jammed server at the moment it frees.
-            if server.usable_at <= self.now and self._can_spare(server):
-                self._eject(server, FULL_MS)
-            return
-        broken = event.outcome is api.Outcome.CONNECT_FAILED
-        self._suspect(server, strain, spare=not broken)
-
-    def _suspect(self, server: Server, strain: float, *, spare: bool = True) -> None:
-        """Add to the suspicion, and eject where it is enough."""
-        server.suspicion = max(0.0, server.suspicion + strain)
-        suspect = server.failures >= DEAD_AFTER or server.suspicion >= SUSPECT_AT
-        # Guards against emptying a zone for what a tier behind all its servers gets wrong.
-        if server.usable_at <= self.now and suspect and (
-                not spare or self._can_spare(server) or self._stands_out(server)):
-            self._eject(server, PAUSE_MS)
-
-    def _hurried(self, request: Request, event: api.AttemptEnded) -> bool:
-        """Whether the attempt failed for the little time that its caller had left.
-
-        Guards against taking out sound servers of this tier for callers in a hurry, or for time used up in
-        the tiers above. Could hurt where all callers are: only broken connections then show who fails.
-        """
-        if event.outcome not in (api.Outcome.TIMEOUT, api.Outcome.ERROR):
-            return False
-        given = request.deadline - request.attempts[event.attempt].sent_ms
-        return given < SLOW_FROM * self.typical_ms.get(request.cls.name, 0.0)
-
-    def _time(self, name: str, typical: float, elapsed_ms: float) -> None:
-        """Follow a class's typical time."""
-        heard = self.heard[name] = min(TYPICAL_OVER, self.heard.get(name, 0) + 1)
-        self.typical_ms[name] = typical + (elapsed_ms - typical) / heard
-
-    def _stands_out(self, server: Server) -> bool:
-        """Whether it fails far more than the other servers do, and half of all stay usable without it.
-
-        Guards against a failing server that stays in as another one is out: it fails fast, so it always has
-        room, and draws the calls. What fails alike everywhere stands out nowhere.
-        """
-        others = [s.failing for s in self.servers.values() if s is not server and s.failing is not None]
-        usual = sum(others) / len(others) if others else 1.0
-        ready, usable = sum(z.ready for z in self.zones.values()), len(self.levels[1])
-        return (server.failing or 0.0) > OUTLIER_FROM + 2.0 * usual and 2 * (usable - 1) >= ready
-
-    def _can_spare(self, server: Server) -> bool:
-        """Whether two thirds of its zone stay usable: if more is slow, the trouble is not the server's.
-
-        One or two servers are no measure of that: there the whole fleet is, and calls spill to it.
-        """
-        zone = self.zones[server.endpoint.zone]
-        return zone.spare >= 3 or (zone.ready < 3 and sum(z.spare for z in self.zones.values()) >= 3)
-
-    def _eject(self, server: Server, pause_ms: float) -> None:
-        """Take the server out for a while; the first calls after that are trials, one at a time."""
-        server.usable_at = self.now + pause_ms * 2 ** min(server.pauses, 2) * self.random.uniform(0.75, 1.25)
-        server.ejections += 1
-        for call in server.calls:  # they no longer hold others up
-            call.release()
-        server.suspicion = SUSPECT_AT / 2
-        server.pauses += 1
-        self._review()
--- a/honeywharf/policy/__init__.py
+++ b/honeywharf/policy/__init__.py
@@ -1,1 +1,1 @@
-"""The state behind the decisions of the balancer, one concern a module."""
+"""The parts of the balancer's decisions, each with its state: one concern a module."""
--- a/honeywharf/policy/server.py
+++ b/honeywharf/policy/server.py
@@ -17,16 +17,16 @@
 
     endpoint: api.Endpoint
     calls: dict[Attempt, None] = field(default_factory=dict)  # out, the oldest first; not those that hang
-    silent: dict[str, float] = field(default_factory=dict)  # by class: until when it counts as absent
-    errors: dict[str, int] = field(default_factory=dict)  # by class, in a row
-    failures: int = 0  # in a row
+    class_ejected_until: dict[str, float] = field(default_factory=dict)  # by class, for that class alone
+    class_errors: dict[str, int] = field(default_factory=dict)  # by class, in a row
+    consecutive_failures: int = 0
     ejections: int = 0
-    suspicion: float = 0.0
-    failing: float | None = None  # the part of its recent calls that failed; None before the first has ended
-    pace: float = 1.0
-    pauses: int = 0  # ejections in a row without a success
-    usable_at: float = 0.0  # ejected until then
-    cold: bool = False
-    next_ms: float = 0.0  # while it is cold: nothing is sent to it before
+    anomaly_score: float = 0.0  # a running sum: failures and late answers raise it, fast answers lower it
+    failure_rate: float | None = None  # of its recent calls; None before the first has ended
+    relative_latency: float = 1.0  # its mean latency, in expected latencies of the classes
+    consecutive_ejections: int = 0  # without a success between them
+    ejected_until: float = 0.0
+    warming_up: bool = False
+    next_call_ms: float = 0.0  # while it warms up: nothing is sent to it before
     share: float = 1.0  # of the even share that it is given; under 1 while it warms up
     capacity: float = 1.0  # its share, times its registered size over the mean one
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -111,7 +111,7 @@
     driver.fill(100)
     end_at(driver, "a0", outcome, 1)
     assert "a0" in driver.fill(300)
-    assert driver.balancer.servers["a0"].ejections == 0
+    assert driver.balancer.host_set.servers["a0"].ejections == 0
 
 
 def test_a_refused_connection_says_more_of_a_server_than_one_that_does_not_come_up() -> None:
@@ -120,7 +120,7 @@
         driver = Driver(make_settings(limits=api.Limits(max_attempts=1)))
         driver.list(TWO_ZONES[:4])
         driver.fill(100)
-        servers = driver.balancer.servers
+        servers = driver.balancer.host_set.servers
         for name in list(servers)[:3]:
             end_at(driver, name, outcome, 4)
         assert sum(s.ejections > 0 for s in servers.values()) == out, outcome
@@ -130,13 +130,13 @@
     """Guards against limits, typical times and shares that fall as connections come up late."""
     driver = Driver()
     driver.list(TWO_ZONES[:4])
-    before = driver.balancer.zones["a"].limit
+    before = driver.balancer.host_set.zones["a"].limit
     for _ in range(200):
         driver.request()
         driver.end(api.Outcome.OK, after_ms=1000.0, waited_ms=900.0)
-    assert driver.balancer.zones["a"].limit >= before
-    assert driver.balancer.typical_ms["read"] == pytest.approx(100.0)
-    assert {s.pace for s in driver.balancer.servers.values()} == {1.0}
+    assert driver.balancer.host_set.zones["a"].limit >= before
+    assert driver.balancer.outliers.latency.expected_ms["read"] == pytest.approx(100.0)
+    assert {s.relative_latency for s in driver.balancer.host_set.servers.values()} == {1.0}
 
 
 def test_errors_in_a_row_eject() -> None:
@@ -151,7 +151,7 @@
     driver = Driver()
     driver.list([endpoint("a0"), endpoint("a1"), endpoint("b0", "b"), endpoint("b1", "b")])
     driver.fill(40, api.Outcome.ERROR)
-    assert sum(s.ejections > 0 for s in driver.balancer.servers.values()) == 1
+    assert sum(s.ejections > 0 for s in driver.balancer.host_set.servers.values()) == 1
     driver.now += 20000
     assert set(driver.fill(200)) == {"a0", "a1"}
 
@@ -161,8 +161,8 @@
     driver = Driver()
     driver.list([endpoint(f"a{i}") for i in range(2)] + [endpoint(f"b{i}", "b") for i in range(2)])
     driver.fill(200)
-    servers = driver.balancer.servers
-    driver.balancer._eject(servers["b0"], 60000.0)
+    servers = driver.balancer.host_set.servers
+    driver.balancer.outliers.eject(servers["b0"], 60000.0, driver.balancer.now)
     for _ in range(60):
         bad = only_send(driver.request()).endpoint == "a0"
         driver.end(api.Outcome.ERROR if bad else api.Outcome.OK, after_ms=1.0, request_over=True)
@@ -228,7 +228,7 @@
     everyone = {f"a{i}" for i in range(6)}
     for _ in range(50):
         answer(driver, 5, everyone)
-        assert sum(s.usable_at <= driver.now for s in driver.balancer.servers.values()) >= 4
+        assert sum(s.ejected_until <= driver.now for s in driver.balancer.host_set.servers.values()) >= 4
 
 
 def test_a_server_that_swallows_a_class_gets_none_of_it_and_serves_the_others() -> None:
@@ -237,7 +237,7 @@
     driver.list([endpoint(f"a{i}") for i in range(6)])
     driver.fill(100)
     silent = "a0"
-    driver.balancer.servers[silent].failures = 1  # its last call has failed too
+    driver.balancer.host_set.servers[silent].consecutive_failures = 1  # its last call has failed too
     end_at(driver, silent, api.Outcome.TIMEOUT, 1, "write")
     sent: dict[str, set[str]] = {"write": set(), "read": set()}
     for i in range(400):
@@ -331,7 +331,7 @@
     """Guards against even calls that bury the small servers of a zone while the large ones sit light."""
     driver = Driver()
     driver.list([endpoint("a0", size=4.0), endpoint("a1", size=1.0), endpoint("a2", size=1.0)])
-    for zone in driver.balancer.zones.values():
+    for zone in driver.balancer.host_set.zones.values():
         zone.limit = 8.0
     held = hold(driver, 24)
     assert held["a0"] > 2 * held["a1"]
@@ -349,7 +349,7 @@
     """
     driver = Driver(make_settings(classes=(DEAR, CHEAP), balancers=12))
     driver.list([endpoint(f"a{i}") for i in range(30)])
-    zone = driver.balancer.zones["a"]
+    zone = driver.balancer.host_set.zones["a"]
     for _ in range(100):
         driver.now += 100
         assert zone.limit * zone.capacity > 9
@@ -370,7 +370,7 @@
             driver.now += rng.expovariate(per_s) * 1000.0 - 50.0
             driver.request()
             driver.end(api.Outcome.OK)
-        rates.append(driver.balancer.even_rate)
+        rates.append(driver.balancer.host_set.answer_rate.peak)
     assert 0.6 < sum(rates) / len(rates) / (per_s / 1000.0 / 10) < 1.5
 
 
@@ -404,9 +404,9 @@
     driver = Driver()
     driver.list(TWO_ZONES)
     crowd(driver, 900.0, 4000)
-    low = sum(z.limit for z in driver.balancer.zones.values())
+    low = sum(z.limit for z in driver.balancer.host_set.zones.values())
     crowd(driver, 50.0, 8000)
-    high = sum(z.limit for z in driver.balancer.zones.values())
+    high = sum(z.limit for z in driver.balancer.host_set.zones.values())
     assert high > 3 * low
 
 
@@ -488,7 +488,7 @@
     """Guards against calls to dead servers whenever the live ones have no room (incident i0f1c09)."""
     driver = Driver()
     driver.list([endpoint("a0"), endpoint("a1"), endpoint("b0", "b")])
-    servers = driver.balancer.servers
+    servers = driver.balancer.host_set.servers
     while not (servers["a0"].ejections and servers["a1"].ejections):
         server = only_send(driver.request()).endpoint
         lives = server == "b0"
@@ -532,7 +532,7 @@
     driver = Driver(make_settings(balancers=300))
     driver.list(TWO_ZONES)
     assert isinstance(driver.request()[0], api.Send)
-    assert driver.balancer.zones["a"].limit * driver.balancer.zones["a"].capacity < 0.1
+    assert driver.balancer.host_set.zones["a"].limit * driver.balancer.host_set.zones["a"].capacity < 0.1
     taken = 0
     for _ in range(100):
         driver.now += 100
@@ -564,7 +564,7 @@
     """Answers tell of a limit a round trip late: what is let in by then must not jam the servers."""
     driver = Driver()
     driver.list(TWO_ZONES[:4])
-    zone = driver.balancer.zones["a"]
+    zone = driver.balancer.host_set.zones["a"]
     first = zone.limit
     for _ in range(200):  # one call at a time uses little of the limit
         driver.request()
@@ -587,7 +587,7 @@
 def test_what_reached_no_server_raises_no_limit(outcome: api.Outcome) -> None:
     driver = Driver(make_settings(limits=api.Limits(max_attempts=1)))
     driver.list(TWO_ZONES[:4])
-    zone = driver.balancer.zones["a"]
+    zone = driver.balancer.host_set.zones["a"]
     zone.lateness, before = 0.0, zone.limit
     for _ in range(3):
         driver.request()
@@ -595,7 +595,7 @@
         driver.end(outcome, after_ms=1.0)
         zone.in_flight -= 50
     assert zone.limit == before
-    assert all(s.ejections == 0 for s in driver.balancer.servers.values()) == (
+    assert all(s.ejections == 0 for s in driver.balancer.host_set.servers.values()) == (
         outcome is api.Outcome.NOT_SENT)
 
 
@@ -604,7 +604,7 @@
     """Guards against a gate that opens just when calls begin to fail."""
     driver = Driver(make_settings(limits=api.Limits(max_attempts=1)))
     driver.list(TWO_ZONES[:4])
-    zone = driver.balancer.zones["a"]
+    zone = driver.balancer.host_set.zones["a"]
     zone.lateness = before = 0.9
     driver.request()
     driver.end(outcome, after_ms=1.0)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -613,7 +613,7 @@
             client = await Client.to(w.port)
             client.send()
             await soon(backend.came.wait())
-            record = w.proxy.driver.balancer.servers["b"]
+            record = w.proxy.driver.balancer.host_set.servers["b"]
             w.proxy.watch.move(("127.0.0.1", other.port))
             assert w.proxy.watch.up  # it stays in service
             await until(lambda: len(other.calls) == 1)
@@ -622,7 +622,7 @@
             await moved(w, other)
             assert b"after=3&" in other.calls[1]
             assert [e.kind for e in lists(w)] == [api.ListKind.CACHED, api.ListKind.FULL]
-            assert w.proxy.driver.balancer.servers["b"] is record
+            assert w.proxy.driver.balancer.host_set.servers["b"] is record
             assert not w.proxy.pool.has_endpoint("late")
             for writer in list(backend.writers):
                 writer.write(reply())
--- a/tests/test_hang.py
+++ b/tests/test_hang.py
@@ -31,8 +31,8 @@
             assert len(sent) == 2
             assert len({m[1][b"idempotency-key"] for m in sent}) == 1
             assert [len(r.attempts) for r in balancer.requests.values() if r.id == name] == [2]
-            assert balancer.zones["z"].in_flight == 0
-            assert balancer.servers["b"].ejections == 0
+            assert balancer.host_set.zones["z"].in_flight == 0
+            assert balancer.host_set.servers["b"].ejections == 0
         await backend.stop()
     run(main())
 
--- a/tests/test_hurry.py
+++ b/tests/test_hurry.py
@@ -27,17 +27,18 @@
             for backend in backends:
                 backend.pause_s = 0.01 if fails else USUAL_S
                 backend.then = reply(500)
-            before = {name: zone.limit for name, zone in balancer.zones.items()}
+            before = {name: zone.limit for name, zone in balancer.host_set.zones.items()}
             for _ in range(12):
                 client.send("read", b"", HURRY)
                 assert await client.status() != 200
             outcomes = [e.outcome for e in w.ended()[4:]]
             assert len(outcomes) == 12
             assert set(outcomes) == {api.Outcome.ERROR if fails else api.Outcome.TIMEOUT}
-            servers = balancer.servers.values()
+            servers = balancer.host_set.servers.values()
             assert [s.ejections for s in servers] == [0, 0, 0]
-            assert not any(s.silent or s.failures or s.suspicion for s in servers)
-            assert {name: zone.limit for name, zone in balancer.zones.items()} == before
+            assert not any(
+                s.class_ejected_until or s.consecutive_failures or s.anomaly_score for s in servers)
+            assert {name: zone.limit for name, zone in balancer.host_set.zones.items()} == before
         for backend in backends:
             await backend.stop()
     run(main())
@@ -52,7 +53,7 @@
             for _ in range(60):
                 client.send()
                 await client.status()
-            assert w.proxy.driver.balancer.servers["b0"].ejections > 0
+            assert w.proxy.driver.balancer.host_set.servers["b0"].ejections > 0
         for backend in backends:
             await backend.stop()
     run(main())
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -101,7 +101,7 @@
         balancer.handle(i * 10.0, api.EndpointsListed(api.ListKind.FULL, listed))
         balancer.handle(i * 10.0, api.RequestArrived(f"q{i}", "read", 500.0))
         balancer.handle(i * 10.0 + 5, api.AttemptEnded(f"q{i}", 0, api.Outcome.OK, 5.0, True))
-    assert len(balancer.servers) == 5
+    assert len(balancer.host_set.servers) == 5
     assert not balancer.requests
 
 
@@ -114,9 +114,9 @@
         now = 20000.0 * (i // 2)
         balancer.handle(now, api.RequestArrived(f"q{i}", "read", 2000.0))
         balancer.handle(now + 1.0, api.AttemptEnded(f"q{i}", 0, api.Outcome.CONNECT_FAILED, 1.0))
-    assert balancer.servers["a0"].ejections == 2
+    assert balancer.host_set.servers["a0"].ejections == 2
     balancer.handle(30000.0, api.AttemptEnded("long", 0, api.Outcome.OK, 30000.0, True))
-    assert balancer.zones["a"].in_flight == 0
+    assert balancer.host_set.zones["a"].in_flight == 0
 
 
 @given(st.integers(0, 2**32))
@@ -146,11 +146,11 @@
                 tried[action.request] = tried.get(action.request, 0) + 1
         live = [a for r in balancer.requests.values() for a in r.attempts if a.live]
         assert len(live) == len(out)
-        for zone in balancer.zones.values():
+        for zone in balancer.host_set.zones.values():
             assert zone.in_flight == sum(a.counts for a in live if a.zone is zone) >= 0
     for request, attempt, sent in out:
         balancer.handle(now, api.AttemptEnded(request, attempt, api.Outcome.TIMEOUT, now - sent, True))
-    assert [z.in_flight for z in balancer.zones.values()] == [0] * len(balancer.zones)
+    assert [z.in_flight for z in balancer.host_set.zones.values()] == [0] * len(balancer.host_set.zones)
 
 
 POLICY = [ROOT / name for name in tomllib.loads(
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -526,7 +526,7 @@
                 client.send()
                 assert (await client.answer())[2] == body
             assert backend.connections == 2
-            assert w.proxy.driver.balancer.servers["b"].ejections == 0
+            assert w.proxy.driver.balancer.host_set.servers["b"].ejections == 0
         await backend.stop()
     run(main())
 
