--- a/honeywharf/net/upstream.py
+++ b/honeywharf/net/upstream.py
@@ -246,14 +246,15 @@
 
         Guards against dialling a backend that refuses over and over while another connection to it is late.
         """
-        if outcome is api.Outcome.NOT_SENT:
-            self._fail_excess(backend, outcome)
+        if outcome is api.Outcome.CONNECT_FAILED:
+            if backend.waiting:
+                self._fail_waiting(next(iter(backend.waiting)), backend, outcome)
+            self._dial_for_waiting(backend)
             return
+        self._fail_excess(backend, outcome)
         if outcome is api.Outcome.CONNECT_TIMEOUT:
             self.connect_times.add(self.clock.now() - dial.started_ms)
-        elif backend.waiting:
-            self._fail_waiting(next(iter(backend.waiting)), backend, outcome)
-        self._dial_for_waiting(backend)
+            self._dial_for_waiting(backend)
 
     def release(self, connection: Connection) -> None:
         """Return the connection to its backend's idle ones, unless the backend takes no more calls."""
