--- a/tests/test_dialing.py
+++ b/tests/test_dialing.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import errno
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import Any
 
 import pytest
@@ -12,7 +14,7 @@
 from honeywharf.net.clock import Clock
 from honeywharf.net.connect_times import LATE_AFTER, LEAST_PATIENCE_MS, SAMPLES, ConnectTimes
 from honeywharf.net.upstream import Pool
-from tests.loopback import Backend, Client, Ending, reply, run, soon, until, world
+from tests.loopback import Backend, Client, Ending, World, reply, run, soon, until, world
 
 O = api.Outcome  # noqa: E741
 
@@ -56,6 +58,18 @@
     return calls
 
 
+@asynccontextmanager
+async def proxy(*late: int, **changes: Any) -> AsyncIterator[tuple[World, Backend, Late]]:
+    """A running proxy with one backend; its connections with these numbers come up only once they are let."""
+    backend = await Backend().start()
+    changes = {"bounds": {"connectTimeoutMs": 60000.0}, **changes}
+    async with world([backend.row("b")], **changes) as w:
+        loop = Late(w.proxy.loop, *late)
+        w.proxy.pool.loop = loop  # type: ignore[assignment]
+        yield w, backend, loop
+    await backend.stop()
+
+
 @pytest.mark.parametrize("late", [1, 2, 3])
 def test_a_call_leaves_on_a_further_connection_while_earlier_ones_are_late(late: int) -> None:
     async def main() -> None:
@@ -79,32 +93,25 @@
 
 def test_a_backend_whose_first_connection_never_comes_up_serves_the_request() -> None:
     async def main() -> None:
-        backend = await Backend().start()
-        async with world([backend.row("b")], bounds={"connectTimeoutMs": 60000.0}) as w:
-            w.proxy.pool.loop = Late(w.proxy.loop, 0)  # type: ignore[assignment]
+        async with proxy(0) as (w, backend, _):
             client = await Client.to(w.port)
             client.send("pay", b"x")
             assert await client.status() == 200
             assert [e.outcome for e in w.ended()] == [O.OK]
             assert len(backend.requests) == 1
-        await backend.stop()
     run(main())
 
 
 def test_a_backend_that_closes_after_each_answer_is_reached_past_late_connections() -> None:
     async def main() -> None:
-        backend = await Backend().start()
-        backend.then = reply(200, b"x", b"Connection: close")
-        async with world([backend.row("b")], bounds={"connectTimeoutMs": 60000.0}) as w:
-            loop = Late(w.proxy.loop, 1, 3)
-            w.proxy.pool.loop = loop  # type: ignore[assignment]
+        async with proxy(1, 3) as (w, backend, loop):
+            backend.then = reply(200, b"x", b"Connection: close")
             client = await Client.to(w.port)
             for _ in range(3):
                 client.send("pay", b"x")
                 assert await client.status() == 200
             assert {e.outcome for e in w.ended()} == {O.OK}
             assert (loop.dialled, len(backend.requests)) == (5, 3)
-        await backend.stop()
     run(main())
 
 
@@ -224,10 +231,7 @@
 
 def test_a_client_that_leaves_while_several_connections_come_up_has_nothing_sent_on() -> None:
     async def main() -> None:
-        backend = await Backend().start()
-        async with world([backend.row("b")], bounds={"connectTimeoutMs": 60000.0}) as w:
-            loop = Late(w.proxy.loop, *range(1000))
-            w.proxy.pool.loop = loop  # type: ignore[assignment]
+        async with proxy(*range(1000)) as (w, backend, loop):
             client = await Client.to(w.port)
             client.send("pay", b"left")
             await until(lambda: w.proxy.pool.late >= 2)
@@ -239,17 +243,13 @@
             assert [(e.outcome, e.request_over) for e in w.ended()] == [(O.NOT_SENT, True)]
             assert (loop.dialled, len(w.proxy.pool.backends["b"].idle)) == (dialled, dialled)
             assert backend.requests == []
-        await backend.stop()
     run(main())
 
 
 def test_a_call_whose_time_runs_out_before_it_left_has_run_nothing() -> None:
     """Guards against failing, and blaming a backend for, a request that could have been refused."""
     async def main() -> None:
-        backend = await Backend().start()
-        async with world([backend.row("b")], bounds={"connectTimeoutMs": 60000.0}) as w:
-            loop = Late(w.proxy.loop, *range(1000))
-            w.proxy.pool.loop = loop  # type: ignore[assignment]
+        async with proxy(*range(1000)) as (w, backend, loop):
             client = await Client.to(w.port)
             client.send("pay", b"x", "200m")
             assert await client.status() == 503
@@ -258,7 +258,6 @@
             loop.let.set()
             await until(lambda: not w.proxy.pool.tasks)
             assert backend.requests == []
-        await backend.stop()
     run(main())
 
 
@@ -270,11 +269,8 @@
              "group": "all", "windowMs": window_ms}
 
     async def main() -> None:
-        backend = await Backend().start()
-        backend.script = [reply(500, b"x", b"Connection: close")]
-        async with world([backend.row("b")], bounds={"connectTimeoutMs": 60000.0}, profiles=[order]) as w:
-            loop = Late(w.proxy.loop, *range(1, 1000)) if late else Late(w.proxy.loop)
-            w.proxy.pool.loop = loop  # type: ignore[assignment]
+        async with proxy(*range(1, 1000 if late else 1), profiles=[order]) as (w, backend, loop):
+            backend.script = [reply(500, b"x", b"Connection: close")]
             client = await Client.to(w.port)
             client.send("order", b"x")
             first = await w.outcome(1)
@@ -287,7 +283,6 @@
             assert first.outcome is O.ERROR
             assert second.outcome is (O.NOT_SENT if late else O.OK)
             assert len(backend.requests) == (1 if late else 2)
-        await backend.stop()
     run(main())
 
 
