--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -35,6 +35,9 @@
     return api.Endpoint(name, zone, **changes)
 
 
+TWO_ZONES = [*(endpoint(f"a{i}") for i in range(4)), *(endpoint(f"b{i}", "b") for i in range(4))]
+
+
 class Driver:
     """Feeds one balancer and keeps what it did."""
 
