Split the directory of endpoints from the watch on discovery, with standard names

Behaviour, log lines and the values of constants are unchanged.

Moved to honeywharf/net/directory.py: Directory; endpoint is parse_entry and returns an Entry (a named tuple) in place of a bare one; STATES is LIFECYCLE_STATES. Directory.take is apply (with _parse_entries, _remove_unlisted and _apply_entry), names endpoint_ids.

Stays in honeywharf/net/discovery.py: Watch, and Line as WatchConnection. Watch methods: move change_address, received data_received, lost connection_lost, _sure _mark_fresh, _expect _set_staleness_timer, _overdue _staleness_timed_out, _next _poll, _silent _poll_timed_out, _failed _poll_failed, _close _close_connection, _arm _set_poll_timer, _disarm _cancel_poll_timer. Split off: _agent_down, _send_poll, _poll_target, _poll_timeout_ms, _connect_failed, _apply, _watch_ended, _poll_succeeded, _next_backoff_s.

Attributes: where address, tell notify, retry_most_s max_backoff_s, wanted watch_requested, whole full_list_requested, moved address_changed, up first_poll_done, answered_ms last_response_ms, waits long_polling, due staleness_timer, overdue stale, unsure may_have_missed_changes, line connection, called_ms poll_sent_ms, calling poll_in_flight, connecting connect_task, timer poll_timer.

Constants: TOLD_MS STALENESS_MS, MOVED_MS STALENESS_AFTER_MOVE_MS, WAIT_MS LONG_POLL_MS, CONNECT_MS CONNECT_TIMEOUT_MS, SILENT_MS LONG_POLL_MARGIN_MS, AGENT_MS AGENT_RESPONSE_MS, IN_LINE_MS POLL_TIMEOUT_MS, WHOLE_MS FULL_LIST_TIMEOUT_MS, QUIET_S EMPTY_POLL_PAUSE_S, GAP_MS CONTINUATION_GAP_MS, RETRY_S INITIAL_BACKOFF_S, RETRY_MOST_S MAX_BACKOFF_S, RETRY_PART BACKOFF_SHARE_OF_GRACE, MAX_LIST MAX_LIST_BYTES. New names for literals: MAX_STARTED_MS, MAX_WEIGHT, NO_ADDRESS, MAX_BACKOFF_DOUBLINGS, OK, SERVICE_UNAVAILABLE.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -17,7 +17,8 @@
 from honeywharf.brain import Balancer
 from honeywharf.net import config
 from honeywharf.net.clock import Clock
-from honeywharf.net.discovery import Directory, Watch
+from honeywharf.net.directory import Directory
+from honeywharf.net.discovery import Watch
 from honeywharf.net.downstream import Frontend
 from honeywharf.net.driver import Driver
 from honeywharf.net.log import log
@@ -62,8 +63,8 @@
         # it is where no list is held. In neither case for long: the module refuses what it cannot send.
         self.frontend = Frontend(
             loop, self.clock, self.driver, room - upstream,
-            lambda: self.waited or self.watch.up or (
-                conf.settings.polled_discovery and bool(self.directory.names)))
+            lambda: self.waited or self.watch.first_poll_done or (
+                conf.settings.polled_discovery and bool(self.directory.endpoint_ids)))
         self.waited = False  # discovery has been waited for long enough
         self.stopped = asyncio.Event()
         self.told: dict[str, int] = {}
@@ -74,7 +75,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.drain)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
-        self.driver.start(self.directory.take(self.conf.known, api.ListKind.CACHED))
+        self.driver.start(self.directory.apply(self.conf.known, api.ListKind.CACHED))
         host, port = await self.frontend.listen(self.conf.listen)
         log(f"{self.conf.name} listens on {host}:{port}")
         self.watch.start()
@@ -98,7 +99,7 @@
             log(f"reload: discovery is at {conf.discovery[0]}:{conf.discovery[1]}")
         if (conf.listen, conf.sockets, conf.settings) != (old.listen, old.sockets, old.settings):
             log("reload: listen, limits and settings are taken over at the next start")
-        self.watch.move(conf.discovery)
+        self.watch.change_address(conf.discovery)
 
     def drain(self) -> None:
         """Leave service without losing a request: see DEPLOY and PROTOCOL on planned restarts."""
--- /dev/null
+++ b/honeywharf/net/directory.py
@@ -0,0 +1,101 @@
+"""The directory of endpoints: parses the lists of service discovery and applies them to the pool."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from honeywharf import interface as api
+from honeywharf.net.config import Address, address
+from honeywharf.net.log import log
+from honeywharf.net.upstream import Pool
+
+MAX_STARTED_MS = 1e15
+MAX_WEIGHT = 1e9
+NO_ADDRESS: Address = ("", 0)  # of a removed endpoint whose entry gives none
+LIFECYCLE_STATES = {
+    "up": api.EndpointState.READY, "draining": api.EndpointState.DRAINING, "removed": api.EndpointState.GONE,
+}
+
+
+class Entry(NamedTuple):
+    """One entry of a list: the endpoint, and the address that the pool connects to."""
+
+    endpoint: api.Endpoint
+    address: Address
+
+
+def parse_entry(raw: Any) -> Entry:
+    """Parse one entry of a list; ValueError where it is invalid."""
+    if not isinstance(raw, dict):
+        raise ValueError("an entry is an object")
+    endpoint_id, state = raw.get("instanceId"), LIFECYCLE_STATES.get(str(raw.get("lifecycle")))
+    started, weight, cell = raw.get("startedAtMs") or 0, raw.get("weight", 1.0), raw.get("cell") or 0
+    if not isinstance(endpoint_id, str) or not endpoint_id or state is None:
+        raise ValueError("an entry has an id and a known state")
+    numeric = isinstance(started, int | float) and isinstance(weight, int | float) and isinstance(cell, int)
+    if not numeric or not (0 <= started < MAX_STARTED_MS and 0 <= weight < MAX_WEIGHT):
+        raise ValueError(f"{endpoint_id}: figures are numbers that make sense")
+    removed = state is api.EndpointState.GONE
+    host_port = raw.get("hostPort")
+    return Entry(
+        api.Endpoint(
+            endpoint_id, str(raw.get("zone", "")), state, cell, float(started) or None, float(weight),
+            str(raw.get("machineType", "")),
+        ),
+        NO_ADDRESS if removed and not host_port else address(host_port),
+    )
+
+
+class Directory:
+    """The endpoints of the last list and its generation; keeps the pool's endpoints the same as its own."""
+
+    def __init__(self, pool: Pool) -> None:
+        self.pool = pool
+        self.generation = 0
+        self.endpoint_ids: set[str] = set()
+
+    def apply(self, raw: Any, kind: api.ListKind | None = None) -> api.EndpointsListed:
+        """Apply a list to the pool and return it as an event; ValueError where it is no list.
+
+        A list of a given kind is a full one. Without a kind, the list says whether it is full.
+        """
+        if not isinstance(raw, dict) or not isinstance(raw.get("instances"), list):
+            raise ValueError("a list has instances")
+        generation = raw.get("generation")
+        if isinstance(generation, bool) or not isinstance(generation, int):
+            raise ValueError("a list has a generation")
+        full = bool(raw.get("reset")) or kind is not None
+        entries = self._parse_entries(raw["instances"])
+        if full:
+            self._remove_unlisted(entries)
+        for entry in entries:
+            self._apply_entry(entry)
+        self.generation = generation
+        kind = kind or (api.ListKind.FULL if full else api.ListKind.CHANGES)
+        return api.EndpointsListed(kind, tuple(entry.endpoint for entry in entries), generation)
+
+    def _parse_entries(self, raw_entries: list[Any]) -> list[Entry]:
+        entries = []
+        for raw in raw_entries:
+            try:
+                entries.append(parse_entry(raw))
+            except ValueError as fault:  # one bad entry must not hide the others
+                log(f"discovery: entry left out: {fault}")
+        return entries
+
+    def _remove_unlisted(self, entries: list[Entry]) -> None:
+        for endpoint_id in self.endpoint_ids - {entry.endpoint.id for entry in entries}:
+            self._remove(endpoint_id)
+
+    def _apply_entry(self, entry: Entry) -> None:
+        endpoint = entry.endpoint
+        if endpoint.state is api.EndpointState.GONE:
+            self._remove(endpoint.id)
+            return
+        self.endpoint_ids.add(endpoint.id)
+        ready = endpoint.state is api.EndpointState.READY
+        self.pool.set_endpoint(endpoint.id, entry.address, endpoint.started_ms, open_for_work=ready)
+
+    def _remove(self, endpoint_id: str) -> None:
+        self.endpoint_ids.discard(endpoint_id)
+        self.pool.remove_endpoint(endpoint_id)
--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -1,135 +1,80 @@
-"""The watch on discovery: lists come in as events, and backends' addresses go to the pool."""
+"""The watch on service discovery: long-polls the endpoint list and tracks whether it may be stale."""
 
 from __future__ import annotations
 
 import asyncio
 import random
 from collections.abc import Callable
-from typing import Any, cast
+from typing import cast
 
 import orjson
 
 from honeywharf import interface as api
 from honeywharf.net import http1
 from honeywharf.net.clock import Clock
-from honeywharf.net.config import Address, address
+from honeywharf.net.config import Address
+from honeywharf.net.directory import Directory
 from honeywharf.net.log import log
-from honeywharf.net.upstream import OWN_FAULTS, Pool
+from honeywharf.net.upstream import OWN_FAULTS
 
 PATH = "/registry/instances"
-# A change counts as told so long after discovery had it and could be reached, whatever became of the calls;
+# A change counts as told so long after discovery had it and could be reached, whatever became of the polls;
 # after SIGHUP all that the new address has counts, so long after the signal.
-TOLD_MS = 6000.0
-MOVED_MS = 4000.0
-# Of one watch call: short, since a cut connection says nothing until it is over, and the next call has to be
-# answered before what was missed counts as told. Renewing a watch that stands takes no place in line.
-WAIT_MS = 4000
-CONNECT_MS = 1000.0
-# A watch that says nothing so long after its wait has fallen silent: discovery answers within milliseconds.
-SILENT_MS = 500.0
-AGENT_MS = 250.0  # an agent that pushes lists answers a call made anew within milliseconds, if it is up
-# Calls that do not wait stand in line behind those of all proxies, which takes seconds after a reload. Guards
-# against giving up a place in that line for the last one, over and over: the list then stays as it was. A
-# whole list takes discovery longer, for itself and for those before it in line.
-IN_LINE_MS = 3500.0
-WHOLE_MS = 5000.0
-QUIET_S = 0.05  # before the next call where an answer came at once with nothing new
-GAP_MS = 150.0  # between an answer and a call that goes on with its watch: 0.2 s ends it, less the way there
-RETRY_S = (0.02, 0.1)  # the first retry comes within a random time between these, the next within twice that
-RETRY_MOST_S = 1.0
-RETRY_PART = 0.5  # of the grace for drains, at most, where lists are pushed: the rest is for the call itself
-MAX_LIST = 16 * 1024 * 1024
-STATES = {
-    "up": api.EndpointState.READY, "draining": api.EndpointState.DRAINING, "removed": api.EndpointState.GONE,
-}
-
-
-def endpoint(row: Any) -> tuple[api.Endpoint, Address]:
-    """One entry; ValueError where it makes no sense."""
-    if not isinstance(row, dict):
-        raise ValueError("an entry is an object")
-    name, state = row.get("instanceId"), STATES.get(str(row.get("lifecycle")))
-    started, weight, cell = row.get("startedAtMs") or 0, row.get("weight", 1.0), row.get("cell") or 0
-    if not isinstance(name, str) or not name or state is None:
-        raise ValueError("an entry has an id and a known state")
-    figures = isinstance(started, int | float) and isinstance(weight, int | float) and isinstance(cell, int)
-    if not figures or not (0 <= started < 1e15 and 0 <= weight < 1e9):
-        raise ValueError(f"{name}: figures are numbers that make sense")
-    gone = state is api.EndpointState.GONE
-    where = ("", 0) if gone and not row.get("hostPort") else address(row.get("hostPort"))
-    return api.Endpoint(
-        name, str(row.get("zone", "")), state, cell, float(started) or None, float(weight),
-        str(row.get("machineType", "")),
-    ), where
-
-
-class Directory:
-    """The list as this proxy holds it: what the module is told and where the pool connects."""
-
-    def __init__(self, pool: Pool) -> None:
-        self.pool = pool
-        self.generation = 0
-        self.names: set[str] = set()
-
-    def take(self, raw: Any, kind: api.ListKind | None = None) -> api.EndpointsListed:
-        """An answer as an event, after the pool has it. ValueError where it is no list."""
-        if not isinstance(raw, dict) or not isinstance(raw.get("instances"), list):
-            raise ValueError("a list has instances")
-        generation = raw.get("generation")
-        if isinstance(generation, bool) or not isinstance(generation, int):
-            raise ValueError("a list has a generation")
-        full = bool(raw.get("reset")) or kind is not None
-        rows = []
-        for row in raw["instances"]:
-            try:
-                rows.append(endpoint(row))
-            except ValueError as fault:  # one bad entry must not hide the others
-                log(f"discovery: entry left out: {fault}")
-        if full:
-            for name in self.names - {e.id for e, _ in rows}:
-                self._remove(name)
-        for entry, where in rows:
-            if entry.state is api.EndpointState.GONE:
-                self._remove(entry.id)
-            else:
-                self.names.add(entry.id)
-                ready = entry.state is api.EndpointState.READY
-                self.pool.set_endpoint(entry.id, where, entry.started_ms, open_for_work=ready)
-        self.generation = generation
-        kind = kind or (api.ListKind.FULL if full else api.ListKind.CHANGES)
-        return api.EndpointsListed(kind, tuple(e for e, _ in rows), generation)
-
-    def _remove(self, name: str) -> None:
-        self.names.discard(name)
-        self.pool.remove_endpoint(name)
-
-
-class Line(asyncio.Protocol):
-    """One connection to discovery. What comes on it counts only while the watch holds it.
-
-    Guards against bytes, or the loss, of a connection that was left touching the one that took its place.
+STALENESS_MS = 6000.0
+STALENESS_AFTER_MOVE_MS = 4000.0
+# The wait of one long poll: short, since a cut connection says nothing until it is over, and the next poll
+# has to be answered before what was missed counts as told. Renewing a standing watch does not queue at
+# discovery.
+LONG_POLL_MS = 4000
+CONNECT_TIMEOUT_MS = 1000.0
+# A long poll without a response so long after its wait has timed out: discovery answers within milliseconds.
+LONG_POLL_MARGIN_MS = 500.0
+AGENT_RESPONSE_MS = 250.0  # an agent that pushes lists answers a new poll within milliseconds, if it is up
+# Polls that do not wait queue at discovery behind those of all proxies, which takes seconds after a reload.
+# Guards against giving up a place in that queue for the last one, over and over: the list then stays as it
+# was. A full list takes discovery longer, for itself and for those before it in the queue.
+POLL_TIMEOUT_MS = 3500.0
+FULL_LIST_TIMEOUT_MS = 5000.0
+EMPTY_POLL_PAUSE_S = 0.05  # before the next poll where a response came at once with nothing new
+# Between a response and a poll that continues its watch: 0.2 s ends the watch, less the way there.
+CONTINUATION_GAP_MS = 150.0
+# The first retry comes within a random time between these, the next within twice that.
+INITIAL_BACKOFF_S = (0.02, 0.1)
+MAX_BACKOFF_S = 1.0
+MAX_BACKOFF_DOUBLINGS = 6
+# Of the grace for drains, at most, where lists are pushed: the rest is for the poll itself.
+BACKOFF_SHARE_OF_GRACE = 0.5
+MAX_LIST_BYTES = 16 * 1024 * 1024
+OK = 200
+SERVICE_UNAVAILABLE = 503
+
+
+class WatchConnection(asyncio.Protocol):
+    """One connection to discovery. What is received on it counts only while the watch holds it.
+
+    Guards against bytes, or the loss, of an abandoned connection affecting the one that replaced it.
     """
 
     __slots__ = ("reader", "transport", "watch")
 
     def __init__(self, watch: Watch) -> None:
         self.watch = watch
-        self.reader = http1.ResponseReader(MAX_LIST)
+        self.reader = http1.ResponseReader(MAX_LIST_BYTES)
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the way to write."""
+        """Keep the transport for writing."""
         self.transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
-        """Hand on what has come, if anybody still waits for it."""
-        if self.watch.line is self:
-            self.watch.received(self, data)
+        """Pass the data to the watch, if it still holds this connection."""
+        if self.watch.connection is self:
+            self.watch.data_received(self, data)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """The connection is gone."""
-        if self.watch.line is self:
-            self.watch.lost()
+        """Report the loss to the watch, if it still holds this connection."""
+        if self.watch.connection is self:
+            self.watch.connection_lost()
 
     def close(self) -> None:
         """Close at once."""
@@ -138,220 +83,272 @@
 
 
 class Watch:
-    """One call after another on one connection; a new connection whenever one fails."""
+    """Polls discovery, one poll at a time on one connection; a new connection whenever one fails."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, clock: Clock, where: Address, directory: Directory,
-        tell: Callable[[api.EndpointsListed | api.ListOverdue], None], *, polled: bool, drain_grace_ms: float,
+        self, loop: asyncio.AbstractEventLoop, clock: Clock, address: Address, directory: Directory,
+        notify: Callable[[api.EndpointsListed | api.ListOverdue], None], *, polled: bool,
+        drain_grace_ms: float,
     ) -> None:
-        self.loop, self.clock, self.where, self.directory, self.tell = loop, clock, where, directory, tell
-        self.polled = polled  # the module asks for each watch, and is told when one fails
+        self.loop, self.clock, self.address, self.directory = loop, clock, address, directory
+        self.notify = notify
+        self.polled = polled  # the module asks for each watch, and is notified when one fails
         # Guards against sending past the grace where lists are pushed: what the agent has when it returns
-        # counts as told in that moment, whether or not this proxy has asked again yet.
-        self.retry_most_s = RETRY_MOST_S if polled else min(
-            RETRY_MOST_S, max(RETRY_S[0], RETRY_PART * drain_grace_ms / 1000.0))
-        self.wanted = self.whole = False
-        self.moved = False  # until the new address has given a whole list: versions don't compare
-        self.up = False  # the first call has been answered, or is out with one that says nothing
-        # When the last call was answered, if it was. A call soon after goes on with its watch and may wait;
-        # any other may stand in line before its wait begins: how long may it say nothing?
-        self.answered_ms = float("-inf")
-        self.waits = False  # the present call does
-        self.due: asyncio.TimerHandle | None = None  # then what the list held may lack counts as told
-        self.overdue = False  # it has come, and no list since
-        self.unsure = False  # a call that got there brought no list, so that something may be missing
-        self.failures = 0
+        # counts as told in that moment, whether or not this proxy has polled again yet.
+        self.max_backoff_s = MAX_BACKOFF_S if polled else min(
+            MAX_BACKOFF_S, max(INITIAL_BACKOFF_S[0], BACKOFF_SHARE_OF_GRACE * drain_grace_ms / 1000.0))
+        self.watch_requested = False
+        self.full_list_requested = False  # or the poll in flight asks for it
+        self.address_changed = False  # until the new address has given a full list: generations don't compare
+        self.first_poll_done = False  # it has been answered, or has timed out
+        # When the last poll was answered, if it was. A poll soon after continues its watch and may wait; any
+        # other may queue at discovery before its wait begins, so how long it may take is not known.
+        self.last_response_ms = float("-inf")
+        self.long_polling = False  # the present poll waits for changes
+        # When it fires, changes that the directory may lack count as told.
+        self.staleness_timer: asyncio.TimerHandle | None = None
+        self.stale = False  # it has fired, and no list has come since
+        self.may_have_missed_changes = False  # a poll that reached discovery brought no list
+        self.failures = 0  # in a row
         self.random = random.Random()
-        self.line: Line | None = None
-        self.called_ms = 0.0
-        self.calling = False
-        self.connecting: asyncio.Task[None] | None = None
-        self.timer: asyncio.TimerHandle | None = None
+        self.connection: WatchConnection | None = None
+        self.poll_sent_ms = 0.0
+        self.poll_in_flight = False
+        self.connect_task: asyncio.Task[None] | None = None
+        self.poll_timer: asyncio.TimerHandle | None = None  # the poll's timeout, or the pause before the next
 
     def start(self) -> None:
-        """Use the list of the last life for as long as it may be; where lists are pushed that is not at all.
+        """Use the list of the last run until it may be stale; where lists are pushed that is at once.
 
         There, what the agent has counts as told from a process's first moment.
         """
         if self.polled:
-            self._sure()
+            self._mark_fresh()
         else:
-            self._overdue()
+            self._staleness_timed_out()
             self.watch()
 
-    def _sure(self) -> None:
+    # Requests of the module and of the process.
+
+    def watch(self) -> None:
+        """Subscribe to changes from now on."""
+        self.watch_requested = True
+        self._poll()
+
+    def fetch(self) -> None:
+        """Request the full list once."""
+        self.full_list_requested = True
+        self._poll()
+
+    def change_address(self, address: Address) -> None:
+        """Switch to another address at once, whatever the present poll's state; the list held stays."""
+        if address == self.address:
+            return
+        timer = self.staleness_timer
+        left_ms = (timer.when() - self.loop.time()) * 1000.0 if timer else 0.0
+        self._set_staleness_timer(min(STALENESS_AFTER_MOVE_MS, left_ms))
+        self.address, self.address_changed = address, True
+        self.failures, self.may_have_missed_changes = 0, True
+        connect_task, self.connect_task = self.connect_task, None
+        if connect_task is not None:
+            connect_task.cancel()
+        self.poll_in_flight = False
+        self._cancel_poll_timer()
+        self._close_connection()
+        self._poll()
+
+    # Staleness of the list held.
+
+    def _mark_fresh(self) -> None:
         """The list held lacks nothing that discovery has had up to now."""
-        self._expect(TOLD_MS)
+        self._set_staleness_timer(STALENESS_MS)
 
-    def _expect(self, within_ms: float) -> None:
-        """A list has to come within that time; else what the one held may lack counts as told."""
-        if self.due is not None:
-            self.due.cancel()
-        self.due = self.loop.call_later(max(0.0, within_ms) / 1000.0, self._overdue)
+    def _set_staleness_timer(self, within_ms: float) -> None:
+        """Require a list within that time; after it, changes that the one held may lack count as told."""
+        if self.staleness_timer is not None:
+            self.staleness_timer.cancel()
+        self.staleness_timer = self.loop.call_later(max(0.0, within_ms) / 1000.0, self._staleness_timed_out)
 
-    def _overdue(self) -> None:
-        """Tell the module that the list held lacks what counts as told, perhaps.
+    def _staleness_timed_out(self) -> None:
+        """Notify the module that the list held may lack changes that count as told.
 
-        But an agent that takes a call made anew and says nothing is down and learns nothing: no time passes.
+        But an agent that accepts a new poll and does not respond is down and learns nothing: no time passes.
         """
-        if not self.polled and self.calling and not self.waits and (
-                self.clock.now() - self.called_ms >= AGENT_MS):
-            self._sure()
+        if self._agent_down():
+            self._mark_fresh()
             return
         log("discovery: no list for so long that changes count as told")
-        self.due, self.overdue = None, True
-        self.tell(api.ListOverdue())
+        self.staleness_timer, self.stale = None, True
+        self.notify(api.ListOverdue())
 
-    def watch(self) -> None:
-        """Ask for changes from now on."""
-        self.wanted = True
-        self._next()
+    def _agent_down(self) -> bool:
+        """Whether lists are pushed and the agent leaves a new poll without a response."""
+        return not self.polled and self.poll_in_flight and not self.long_polling and (
+            self.clock.now() - self.poll_sent_ms >= AGENT_RESPONSE_MS)
 
-    def fetch(self) -> None:
-        """Ask for the whole list once."""
-        self.whole = True
-        self._next()
+    # Sending polls.
 
-    def move(self, where: Address) -> None:
-        """Turn to another address at once, wherever the present call stands; the list held goes on."""
-        if where == self.where:
+    def _poll(self) -> None:
+        """Send the next poll, if one is requested and none is in flight; connect first where necessary."""
+        if self.poll_in_flight or self.connect_task is not None:
             return
-        left_ms = (self.due.when() - self.loop.time()) * 1000.0 if self.due else 0.0
-        self._expect(min(MOVED_MS, left_ms))
-        self.where, self.moved, self.failures, self.unsure = where, True, 0, True
-        connecting, self.connecting = self.connecting, None
-        if connecting is not None:
-            connecting.cancel()
-        self.calling = False
-        self._disarm()
-        self._close()
-        self._next()
-
-    def _next(self) -> None:
-        """Make the next call, if one is wanted and none is out."""
-        if self.calling or self.connecting is not None or not (self.wanted or self.whole or self.moved):
+        if not (self.watch_requested or self.full_list_requested or self.address_changed):
             return
-        line = self.line
-        if line is None or line.transport is None or line.transport.is_closing():
-            self._disarm()
-            self.connecting = self.loop.create_task(self._connect())
+        connection = self.connection
+        if connection is None or connection.transport is None or connection.transport.is_closing():
+            self._cancel_poll_timer()
+            self.connect_task = self.loop.create_task(self._connect())
             return
-        whole = self.whole or self.moved
+        self._send_poll(connection.transport)
+
+    def _send_poll(self, transport: asyncio.Transport) -> None:
+        full_list = self.full_list_requested or self.address_changed
         now = self.clock.now()
-        wait = WAIT_MS if now <= self.answered_ms + GAP_MS and not whole else 0
-        self.waits = wait > 0
-        target = PATH if whole else f"{PATH}?after={self.directory.generation}&wait_ms={wait}"
-        self.calling, self.called_ms, self.whole = True, now, whole
-        patience = wait + SILENT_MS if wait else WHOLE_MS if whole else IN_LINE_MS
-        self._arm(patience / 1000.0, self._silent)
-        host = f"{self.where[0]}:{self.where[1]}"
-        line.transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+        self.long_polling = now <= self.last_response_ms + CONTINUATION_GAP_MS and not full_list
+        self.poll_in_flight, self.poll_sent_ms, self.full_list_requested = True, now, full_list
+        self._set_poll_timer(self._poll_timeout_ms() / 1000.0, self._poll_timed_out)
+        host = f"{self.address[0]}:{self.address[1]}"
+        transport.write(f"GET {self._poll_target()} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+
+    def _poll_target(self) -> str:
+        if self.full_list_requested:
+            return PATH
+        wait_ms = LONG_POLL_MS if self.long_polling else 0
+        return f"{PATH}?after={self.directory.generation}&wait_ms={wait_ms}"
+
+    def _poll_timeout_ms(self) -> float:
+        if self.long_polling:
+            return LONG_POLL_MS + LONG_POLL_MARGIN_MS
+        return FULL_LIST_TIMEOUT_MS if self.full_list_requested else POLL_TIMEOUT_MS
 
     async def _connect(self) -> None:
-        line, task = Line(self), asyncio.current_task()
+        connection, task = WatchConnection(self), asyncio.current_task()
         try:
-            async with asyncio.timeout(CONNECT_MS / 1000.0):
-                await self.loop.create_connection(lambda: line, *self.where)
-        except OSError as fault:  # a time-out is one too
-            line.close()
-            if self.connecting is task:
-                self.connecting = None
-                if fault.errno not in OWN_FAULTS and not self.unsure:
-                    self._sure()  # it could not be reached: nothing counts from before now
-                self._failed(reached=False)
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000.0):
+                await self.loop.create_connection(lambda: connection, *self.address)
+        except OSError as fault:  # a timeout is one too
+            connection.close()
+            if self.connect_task is task:
+                self._connect_failed(fault)
             return
         except asyncio.CancelledError:
-            line.close()
+            connection.close()
             raise
-        if self.connecting is not task:  # the watch has moved in the very turn in which this came up
-            line.close()
+        if self.connect_task is not task:  # the address changed in the very turn in which this came up
+            connection.close()
             return
-        self.connecting, self.line = None, line
-        self._next()
+        self.connect_task, self.connection = None, connection
+        self._poll()
 
-    def received(self, line: Line, data: bytes) -> None:
-        """Take the answer, tell it, and call again at once."""
+    def _connect_failed(self, fault: OSError) -> None:
+        self.connect_task = None
+        if fault.errno not in OWN_FAULTS and not self.may_have_missed_changes:
+            self._mark_fresh()  # it could not be reached: nothing counts from before now
+        self._poll_failed(reached=False)
+
+    # The ends of polls.
+
+    def data_received(self, connection: WatchConnection, data: bytes) -> None:
+        """Read the response; once it is complete, apply it, notify the module and poll again at once."""
         try:
-            if not self.calling:
+            if not self.poll_in_flight:
                 raise ValueError("an answer that nobody asked for")
-            response = line.reader.feed(data)
+            response = connection.reader.feed(data)
             if response is None:
                 return
-            if response.status == 503 and self.waits:
-                self._sure()  # the watch stood until now: what changed before was told first
-                log("discovery: the watch ended")
-                self._failed(reached=False)
+            if response.status == SERVICE_UNAVAILABLE and self.long_polling:
+                self._watch_ended()
                 return
-            if response.status != 200:
-                raise ValueError(f"status {response.status}")
-            kind = api.ListKind.FULL if self.whole else None
-            event = self.directory.take(orjson.loads(response.body), kind)
+            event = self._apply(response)
         except (http1.MalformedError, ValueError) as fault:
             log(f"discovery: {fault}")
-            self._failed()
+            self._poll_failed()
             return
-        quick = self.clock.now() - self.called_ms < 1000.0 * QUIET_S
-        first = not self.up
-        self.calling = self.whole = self.moved = False
-        if not self.up:
-            log(f"discovery: first answer, {len(self.directory.names)} endpoints")
-        self.up, self.answered_ms = True, self.clock.now()
+        self._poll_succeeded(event, keep_alive=response.keep)
+
+    def _apply(self, response: http1.Response) -> api.EndpointsListed:
+        """Apply the list in a response to the directory; ValueError where there is none."""
+        if response.status != OK:
+            raise ValueError(f"status {response.status}")
+        kind = api.ListKind.FULL if self.full_list_requested else None
+        return self.directory.apply(orjson.loads(response.body), kind)
+
+    def _watch_ended(self) -> None:
+        """Discovery ended the watch, which stood until now: what changed before was told first."""
+        self._mark_fresh()
+        log("discovery: the watch ended")
+        self._poll_failed(reached=False)
+
+    def _poll_succeeded(self, event: api.EndpointsListed, *, keep_alive: bool) -> None:
+        quick = self.clock.now() - self.poll_sent_ms < 1000.0 * EMPTY_POLL_PAUSE_S
+        first = not self.first_poll_done
+        self.poll_in_flight = self.full_list_requested = self.address_changed = False
+        if first:
+            log(f"discovery: first answer, {len(self.directory.endpoint_ids)} endpoints")
+        self.first_poll_done, self.last_response_ms = True, self.clock.now()
         self.failures = 0
-        if not response.keep:
-            self._close()
-        news = event.endpoints or event.kind is not api.ListKind.CHANGES or self.polled or self.overdue
-        self.overdue = self.unsure = False
-        self._sure()
-        if news:
-            self.tell(event)
+        if not keep_alive:
+            self._close_connection()
+        changed = event.endpoints or event.kind is not api.ListKind.CHANGES
+        notify = changed or self.polled or self.stale
+        self.stale = self.may_have_missed_changes = False
+        self._mark_fresh()
+        if notify:
+            self.notify(event)
         if quick and not first and not event.endpoints:
-            self._arm(QUIET_S, self._next)  # guards against a busy loop on an agent that answers at once
+            # Guards against a busy loop on an agent that answers at once.
+            self._set_poll_timer(EMPTY_POLL_PAUSE_S, self._poll)
         else:
-            self._disarm()
-            self._next()
+            self._cancel_poll_timer()
+            self._poll()
 
-    def lost(self) -> None:
-        """The connection is gone; so is the call on it."""
-        self.line = None
-        if self.calling:
-            self._failed()
+    def connection_lost(self) -> None:
+        """Forget the connection; the poll in flight on it has failed."""
+        self.connection = None
+        if self.poll_in_flight:
+            self._poll_failed()
 
-    def _silent(self) -> None:
-        """Nothing came in time. The call got there, so the watch is up, on the list held last.
+    def _poll_timed_out(self) -> None:
+        """Poll again at once. The poll reached discovery, so the first poll is done, on the list held last.
 
-        Guards against a list that stays overdue: discovery is asked anew at once, by a call that does not
-        wait, and without the pause, the module's too, that follows on a call that failed.
+        Guards against a list that stays stale: the new poll does not wait for changes, and comes without the
+        backoff, the module's too, that follows on a failed poll.
         """
-        log(f"discovery: silent for {self.clock.now() - self.called_ms:.0f} ms")
-        self.up = self.unsure = True
-        self.calling, self.answered_ms = False, float("-inf")
-        self._close()
-        self._next()
-
-    def _failed(self, *, reached: bool = True) -> None:
-        """Call again soon, not in step with others; where the module asks for watches, it is told instead."""
-        self.unsure = self.unsure or reached
-        self.calling, self.answered_ms = False, float("-inf")
-        self._disarm()
-        self._close()
+        log(f"discovery: silent for {self.clock.now() - self.poll_sent_ms:.0f} ms")
+        self.first_poll_done = self.may_have_missed_changes = True
+        self.poll_in_flight, self.last_response_ms = False, float("-inf")
+        self._close_connection()
+        self._poll()
+
+    def _poll_failed(self, *, reached: bool = True) -> None:
+        """Retry after a backoff with jitter; where the module asks for watches, notify it instead."""
+        self.may_have_missed_changes = self.may_have_missed_changes or reached
+        self.poll_in_flight, self.last_response_ms = False, float("-inf")
+        self._cancel_poll_timer()
+        self._close_connection()
         if self.polled:
-            self.wanted = self.whole = False
-            self.tell(api.EndpointsListed(api.ListKind.FAILED))
+            self.watch_requested = self.full_list_requested = False
+            self.notify(api.EndpointsListed(api.ListKind.FAILED))
             return
-        least, most = (min(self.retry_most_s, x * 2 ** min(self.failures, 6)) for x in RETRY_S)
+        self._set_poll_timer(self._next_backoff_s(), self._poll)
+
+    def _next_backoff_s(self) -> float:
+        """Count a failure and return the random pause that follows on it."""
+        factor = 2 ** min(self.failures, MAX_BACKOFF_DOUBLINGS)
+        shortest, longest = (min(self.max_backoff_s, pause * factor) for pause in INITIAL_BACKOFF_S)
         self.failures += 1
-        self._arm(self.random.uniform(least, most), self._next)
+        return self.random.uniform(shortest, longest)
 
-    def _close(self) -> None:
-        line, self.line = self.line, None
-        if line is not None:
-            line.close()
+    def _close_connection(self) -> None:
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.close()
 
-    def _arm(self, delay_s: float, callback: Callable[[], None]) -> None:
-        self._disarm()
-        self.timer = self.loop.call_later(delay_s, callback)
+    def _set_poll_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
+        self._cancel_poll_timer()
+        self.poll_timer = self.loop.call_later(delay_s, callback)
 
-    def _disarm(self) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
+    def _cancel_poll_timer(self) -> None:
+        if self.poll_timer is not None:
+            self.poll_timer.cancel()
+            self.poll_timer = None
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -257,7 +257,7 @@
     discovery.tell(1)
     made = World(make_config(discovery.port, rows, **changes), discovery)
     await made.start()
-    await until(lambda: made.proxy.watch.up)
+    await until(lambda: made.proxy.watch.first_poll_done)
     try:
         yield made
     finally:
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -39,7 +39,7 @@
 
     Beyond that part only 2 sqrt(N) + 2 calls are chance.
     """
-    monkeypatch.setattr(discovery_module, "TOLD_MS", 1e9)
+    monkeypatch.setattr(discovery_module, "STALENESS_MS", 1e9)
     for name in ("SILENT_MS", "IDLE_MS", "CROWDED_IDLE_MS"):  # callers stay, however fast the clock goes
         monkeypatch.setattr(downstream, name, 1e9)
 
@@ -62,7 +62,7 @@
             on_clock(worlds[-1], clock)
             discovery.tell(1, *rows(0.0), reset=True)
             await worlds[-1].start()
-            await until(lambda: worlds[-1].proxy.watch.up)
+            await until(lambda: worlds[-1].proxy.watch.first_poll_done)
             clients.append(await Client.to(worlds[-1].port))
 
         async def play(seconds: float, first: int) -> int:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,7 +8,7 @@
 import pytest
 
 from honeywharf import __main__ as main_module, interface as api
-from honeywharf.net.discovery import endpoint
+from honeywharf.net.directory import parse_entry
 from tests.loopback import (
     Backend,
     Client,
@@ -37,12 +37,12 @@
 
 
 def test_an_entry_in_the_modules_terms() -> None:
-    entry, where = endpoint(row("s", 3000, "y", "draining", startedAtMs=17, weight=1.5, cell=3))
+    entry, where = parse_entry(row("s", 3000, "y", "draining", startedAtMs=17, weight=1.5, cell=3))
     assert entry == api.Endpoint("s", "y", api.EndpointState.DRAINING, 3, 17.0, 1.5, "k")
     assert where == ("127.0.0.1", 3000)
-    assert endpoint(row("s", 1))[0].started_ms is None
+    assert parse_entry(row("s", 1))[0].started_ms is None
     gone = {"instanceId": "s", "lifecycle": "removed"}
-    assert endpoint(gone)[0].state is api.EndpointState.GONE
+    assert parse_entry(gone)[0].state is api.EndpointState.GONE
 
 
 @pytest.mark.parametrize("bad", [
@@ -53,7 +53,7 @@
 ])
 def test_a_senseless_entry_is_told_apart(bad: dict[str, Any]) -> None:
     with pytest.raises(ValueError, match=r"\w"):
-        endpoint({**row("s", 3000), **bad})
+        parse_entry({**row("s", 3000), **bad})
 
 
 def test_the_watch_goes_on_from_the_last_version_and_at_once() -> None:
@@ -166,7 +166,7 @@
         assert await client.ask(ready) == 503
         assert [e.kind for e in lists(w)] == [api.ListKind.CACHED]
         discovery.tell(1, row("b", 1))
-        await until(lambda: w.proxy.watch.up)
+        await until(lambda: w.proxy.watch.first_poll_done)
         assert await client.ask(ready) == 200
         assert w.running is not None
         w.running.cancel()
@@ -182,12 +182,12 @@
         await w.start()
         w.proxy.watch.watch()
         await soon(discovery.called.wait())
-        assert not w.proxy.watch.up
+        assert not w.proxy.watch.first_poll_done
         client = await Client.to(w.port)
         assert await client.ask(b"GET /health/ready HTTP/1.1\r\n\r\n") == 200
         client.send()
         assert await client.status() == 200
-        w.proxy.watch._silent()
+        w.proxy.watch._poll_timed_out()
         await until(lambda: len(discovery.calls) == 2)  # and it goes on asking
         assert w.running is not None
         w.running.cancel()
@@ -215,7 +215,7 @@
             client.send()
             assert await client.status() == 503
         if silent:
-            w.proxy.watch._silent()
+            w.proxy.watch._poll_timed_out()
             await until(lambda: len(discovery.calls) == 2)
             assert await client.ask(b"GET /health/ready HTTP/1.1\r\n\r\n") == 200
             for _ in range(12):
@@ -243,9 +243,9 @@
     async def main() -> None:
         other = await Discovery().start()
         async with world([row("b", 1)]) as w:
-            w.proxy.watch.move(("127.0.0.1", other.port))
+            w.proxy.watch.change_address(("127.0.0.1", other.port))
             await soon(other.called.wait())
-            timer = w.proxy.watch.timer
+            timer = w.proxy.watch.poll_timer
             assert timer is not None
             assert 3.0 < timer.when() - asyncio.get_running_loop().time() < 6.0
         await other.stop()
@@ -292,7 +292,7 @@
 
 def due_s(w: World) -> float:
     """In how many seconds what the list held may lack counts as told."""
-    due = w.proxy.watch.due
+    due = w.proxy.watch.staleness_timer
     assert due is not None
     return round(due.when() - asyncio.get_running_loop().time(), 3)  # the loop's times are whole ms
 
@@ -314,13 +314,13 @@
         await until(lambda: len(discovery.calls) == 2)
         listed = due_s(w)
         assert listed <= 6.0
-        w.proxy.watch._silent()  # from here on something may be missing
+        w.proxy.watch._poll_timed_out()  # from here on something may be missing
         await until(lambda: len(discovery.calls) == 3)
         discovery.answers.put_nowait(reply())  # goes to the call that fell silent
         for _ in range(3):  # and no call brings a list
             calls = len(discovery.calls)
             if ends == "given up":
-                w.proxy.watch._silent()
+                w.proxy.watch._poll_timed_out()
                 discovery.answers.put_nowait(reply())
             elif ends == "lost":
                 for writer in list(discovery.connections):
@@ -331,24 +331,24 @@
             if mode == "ask" and ends != "given up":
                 await until(lambda: lists(w)[-1].kind is api.ListKind.FAILED)
                 w.proxy.watch.watch()
-            elif mode == "push" and w.proxy.watch.timer is not None and ends != "given up":
-                await until(lambda: not w.proxy.watch.calling)
-                w.proxy.watch._next()
+            elif mode == "push" and w.proxy.watch.poll_timer is not None and ends != "given up":
+                await until(lambda: not w.proxy.watch.poll_in_flight)
+                w.proxy.watch._poll()
             await until(lambda: len(discovery.calls) > calls)  # noqa: B023
             assert due_s(w) <= listed
         client = await Client.to(w.port)
         client.send()
         assert await client.status() == 200
         sent = len(leaves.requests) + len(stays.requests)
-        w.proxy.watch._overdue()
+        w.proxy.watch._staleness_timed_out()
         for _ in range(12):
             client.send()
             assert await client.status() == 503
         assert len(leaves.requests) + len(stays.requests) == sent
         discovery.tell(1)
         if mode == "push":
-            w.proxy.watch._next()
-        await until(lambda: not w.proxy.watch.overdue)
+            w.proxy.watch._poll()
+        await until(lambda: not w.proxy.watch.stale)
         client.send()
         assert await client.status() == 200
         assert w.running is not None
@@ -366,19 +366,19 @@
         async with world([backend.row("b")]) as w:
             watch = w.proxy.watch
             await until(lambda: len(w.discovery.calls) == 2)
-            watch._silent()
+            watch._poll_timed_out()
             await until(lambda: len(w.discovery.calls) == 3)
-            watch._expect(1000.0)
-            watch.called_ms -= 1000.0
-            watch._overdue()
-            assert not watch.overdue
+            watch._set_staleness_timer(1000.0)
+            watch.poll_sent_ms -= 1000.0
+            watch._staleness_timed_out()
+            assert not watch.stale
             assert due_s(w) > 5.0
             client = await Client.to(w.port)
             client.send()
             assert await client.status() == 200
-            watch.called_ms += 1000.0  # a call just made shows nothing
-            watch._overdue()
-            assert watch.overdue
+            watch.poll_sent_ms += 1000.0  # a call just made shows nothing
+            watch._staleness_timed_out()
+            assert watch.stale
         await backend.stop()
     run(main())
 
@@ -392,7 +392,7 @@
             client = await Client.to(w.port)
             client.send("pay")
             await until(lambda: w.proxy.pool.handshakes == 1)
-            w.proxy.watch._overdue()
+            w.proxy.watch._staleness_timed_out()
             assert await client.status() == 503
             gate.let.set()
             await until(lambda: not w.proxy.pool.tasks)
@@ -411,16 +411,16 @@
         w.proxy.watch.watch()
         await until(lambda: len(discovery.calls) == 2)
         assert b"&wait_ms=4000 " in discovery.calls[1]
-        w.proxy.watch._expect(3000.0)
+        w.proxy.watch._set_staleness_timer(3000.0)
         discovery.answers.put_nowait(reply(503))  # the watch stood until it was ended by a word
         await until(lambda: lists(w)[-1].kind is api.ListKind.FAILED)
         assert due_s(w) > 4.0
         await discovery.stop()
-        w.proxy.watch._expect(3000.0)
+        w.proxy.watch._set_staleness_timer(3000.0)
         w.proxy.watch.watch()
-        await until(lambda: w.proxy.watch.connecting is None)
+        await until(lambda: w.proxy.watch.connect_task is None)
         assert due_s(w) > 4.0  # down: it could not have been told
-        w.proxy.watch.move(("127.0.0.1", other.port))
+        w.proxy.watch.change_address(("127.0.0.1", other.port))
         assert due_s(w) <= 4.0
         assert w.running is not None
         w.running.cancel()
@@ -462,8 +462,8 @@
             discovery.answers.put_nowait(reply(503))
             w.proxy.watch.watch()
             await until(lambda: sum(e.kind is api.ListKind.FAILED for e in lists(w)) == number)  # noqa: B023
-            assert w.proxy.watch.timer is None  # nothing is due before the module's next word
-        assert not w.proxy.watch.up
+            assert w.proxy.watch.poll_timer is None  # nothing is due before the module's next word
+        assert not w.proxy.watch.first_poll_done
         assert w.running is not None
         w.running.cancel()
         await discovery.stop()
@@ -491,10 +491,10 @@
             discovery.tell(1)
         out = 2 if waits else 1
         await until(lambda: len(discovery.calls) == out)
-        timer, now = w.proxy.watch.timer, asyncio.get_running_loop().time()
+        timer, now = w.proxy.watch.poll_timer, asyncio.get_running_loop().time()
         assert timer is not None
         assert timer.when() - now < (6.0 if waits else 4.0)
-        w.proxy.watch._silent()
+        w.proxy.watch._poll_timed_out()
         await until(lambda: len(discovery.calls) == out + 1)
         assert discovery.calls[out].startswith(b"GET /registry/instances?after=1&wait_ms=0 ")
         assert api.ListKind.FAILED not in [e.kind for e in lists(w)]
@@ -549,7 +549,7 @@
 
         def held_up(now_ms: float, event: api.Event) -> list[api.Action]:
             if isinstance(event, api.EndpointsListed):
-                watch.answered_ms -= 200.0  # as if the loop had been busy for so long
+                watch.last_response_ms -= 200.0  # as if the loop had been busy for so long
             return []
 
         w.proxy.driver.balancer.handle = held_up  # type: ignore[method-assign]
@@ -557,9 +557,9 @@
         watch.watch()
         await until(lambda: len(discovery.calls) == 2)
         assert b"&wait_ms=0 " in discovery.calls[1]
-        watch._expect(3000.0)
+        watch._set_staleness_timer(3000.0)
         discovery.answers.put_nowait(reply(503))
-        await until(lambda: not watch.calling)
+        await until(lambda: not watch.poll_in_flight)
         assert due_s(w) <= 3.0
         assert w.running is not None
         w.running.cancel()
@@ -578,8 +578,8 @@
         w = World(make_config(port, rows, contract={"stopSendingWithinMs": 120.0}), discovery)
         await w.start()
         await until(lambda: w.proxy.watch.failures >= 8)  # its pause has grown as far as it will
-        await until(lambda: w.proxy.watch.connecting is None)
-        timer, now = w.proxy.watch.timer, asyncio.get_running_loop().time()
+        await until(lambda: w.proxy.watch.connect_task is None)
+        timer, now = w.proxy.watch.poll_timer, asyncio.get_running_loop().time()
         assert timer is not None
         assert timer.when() - now <= 0.07
         await discovery.start(port)
@@ -614,8 +614,8 @@
             client.send()
             await soon(backend.came.wait())
             record = w.proxy.driver.balancer.host_set.servers["b"]
-            w.proxy.watch.move(("127.0.0.1", other.port))
-            assert w.proxy.watch.up  # it stays in service
+            w.proxy.watch.change_address(("127.0.0.1", other.port))
+            assert w.proxy.watch.first_poll_done  # it stays in service
             await until(lambda: len(other.calls) == 1)
             w.discovery.tell(50, row("late", 9))  # the old connection speaks up late
             other.tell(3, backend.row("b"), row("c", 2), reset=False)  # versions start anew
@@ -643,9 +643,9 @@
         first, last = await Discovery().start(), await Discovery().start()
         async with world([row("b", 1)]) as w:
             for _ in range(5):  # each while the connection before is still coming up
-                w.proxy.watch.move(("127.0.0.1", first.port))
+                w.proxy.watch.change_address(("127.0.0.1", first.port))
                 await asyncio.sleep(0)
-                w.proxy.watch.move(("127.0.0.1", last.port))
+                w.proxy.watch.change_address(("127.0.0.1", last.port))
                 await asyncio.sleep(0)
             await until(lambda: len(last.calls) >= 1)
             last.tell(1, row("e", 5))
@@ -665,9 +665,9 @@
         port = other.port
         await other.stop()
         async with world([row("b", 1)]) as w:
-            w.proxy.watch.move(("127.0.0.1", port))
+            w.proxy.watch.change_address(("127.0.0.1", port))
             await until(lambda: w.proxy.watch.failures >= 2)
-            assert w.proxy.watch.up
+            assert w.proxy.watch.first_poll_done
             assert w.proxy.pool.has_endpoint("b")
             await other.start(port)
             other.answers.put_nowait(reply(503))
@@ -687,7 +687,7 @@
             client.send()
             await soon(backend.came.wait())
             w.proxy.drain()
-            w.proxy.watch.move(("127.0.0.1", other.port))
+            w.proxy.watch.change_address(("127.0.0.1", other.port))
             other.tell(1, backend.row("b"))
             await moved(w, other)
             for writer in list(backend.writers):
