--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -295,6 +295,8 @@
         self._mark_fresh()
         if notify:
             self.notify(event)
+        if self.poll_in_flight:
+            return  # the module asked for it on this list: the timer is its timeout
         if quick and not first and not event.endpoints:
             # Guards against a busy loop on an agent that answers at once.
             self._set_poll_timer(EMPTY_POLL_PAUSE_S, self._poll)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,6 +8,7 @@
 import pytest
 
 from honeywharf import __main__ as main_module, interface as api
+from honeywharf.net import discovery as discovery_module
 from honeywharf.net.directory import parse_entry
 from tests.loopback import (
     Backend,
@@ -71,6 +72,31 @@
     run(main())
 
 
+@pytest.mark.parametrize("changes", [0, 1])
+def test_a_poll_that_the_module_asks_for_upon_a_list_times_out_too(
+    changes: int, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a poll that falls silent, with none after it, as the list before it took its timer."""
+    monkeypatch.setattr(discovery_module, "FULL_LIST_TIMEOUT_MS", 50.0)
+
+    async def main() -> None:
+        async with world([row("b", 1)], discovery="ask", contract={"askEveryMs": 1000.0}) as w:
+            watch, notify = w.proxy.watch, w.proxy.watch.notify
+            await until(lambda: len(w.discovery.calls) == 2)
+
+            def ask(event: api.EndpointsListed | api.ListOverdue) -> None:
+                notify(event)
+                watch.notify = notify
+                watch.fetch()
+
+            watch.notify = ask
+            w.discovery.tell(2, *[row("c", 2)] * changes)
+            # The full list, which is never answered, and the poll after it has timed out.
+            await until(lambda: len(w.discovery.calls) >= 4)
+            assert w.discovery.calls[2].startswith(b"GET /registry/instances HTTP")
+    run(main())
+
+
 def test_a_drained_backend_gets_nothing_new_and_a_full_list_replaces() -> None:
     async def main() -> None:
         one, two = await Backend().start(), await Backend().start()
