Ask a new discovery address for the changes since the generation held, not for the full list

At fault: Watch._send_poll, which asked for a full list after a move.

Change: the poll asks for changes; changes that end before the generation held are not applied, and the full list is taken at once.

--- a/honeywharf/net/directory.py
+++ b/honeywharf/net/directory.py
@@ -17,6 +17,10 @@
 }
 
 
+class GenerationWentBackError(ValueError):
+    """Changes up to a generation older than the one held: they do not follow on the list held."""
+
+
 class Entry(NamedTuple):
     """One entry of a list: the endpoint, and the address that the pool connects to."""
 
@@ -57,6 +61,7 @@
     def apply(self, raw: Any, kind: api.ListKind | None = None) -> api.EndpointsListed:
         """Apply a list to the pool and return it as an event; ValueError where it is no list.
 
+        GenerationWentBackError where it is changes that end before the generation held; nothing is applied.
         A list of a given kind is a full one. Without a kind, the list says whether it is full.
         """
         if not isinstance(raw, dict) or not isinstance(raw.get("instances"), list):
@@ -65,6 +70,8 @@
         if isinstance(generation, bool) or not isinstance(generation, int):
             raise ValueError("a list has a generation")
         full = bool(raw.get("reset")) or kind is not None
+        if not full and generation < self.generation:
+            raise GenerationWentBackError(f"changes to generation {generation}, held is {self.generation}")
         entries = self._parse_entries(raw["instances"])
         if full:
             self._remove_unlisted(entries)
--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -13,7 +13,7 @@
 from honeywharf.net import http1
 from honeywharf.net.clock import Clock
 from honeywharf.net.config import Address
-from honeywharf.net.directory import Directory
+from honeywharf.net.directory import Directory, GenerationWentBackError
 from honeywharf.net.log import log
 from honeywharf.net.upstream import OWN_FAULTS
 
@@ -99,7 +99,7 @@
             MAX_BACKOFF_S, max(INITIAL_BACKOFF_S[0], BACKOFF_SHARE_OF_GRACE * drain_grace_ms / 1000.0))
         self.watch_requested = False
         self.full_list_requested = False  # or the poll in flight asks for it
-        self.address_changed = False  # until the new address has given a full list: generations don't compare
+        self.address_changed = False  # until the new address has answered
         self.first_poll_done = False  # it has been answered, or has timed out
         # When the last poll was answered, if it was. A poll soon after continues its watch and may wait; any
         # other may queue at discovery before its wait begins, so how long it may take is not known.
@@ -141,7 +141,11 @@
         self._poll()
 
     def change_address(self, address: Address) -> None:
-        """Switch to another address at once, whatever the present poll's state; the list held stays."""
+        """Switch to another address at once, whatever the present poll's state; the list held stays.
+
+        It is the same service, so the changes since the generation held are asked for. Guards against all
+        proxies asking for full lists at once, which takes discovery longer than the list held may be used.
+        """
         if address == self.address:
             return
         timer = self.staleness_timer
@@ -149,6 +153,7 @@
         self._set_staleness_timer(min(STALENESS_AFTER_MOVE_MS, left_ms))
         self.address, self.address_changed = address, True
         self.failures, self.may_have_missed_changes = 0, True
+        self.last_response_ms = float("-inf")
         connect_task, self.connect_task = self.connect_task, None
         if connect_task is not None:
             connect_task.cancel()
@@ -202,10 +207,10 @@
         self._send_poll(connection.transport)
 
     def _send_poll(self, transport: asyncio.Transport) -> None:
-        full_list = self.full_list_requested or self.address_changed
         now = self.clock.now()
-        self.long_polling = now <= self.last_response_ms + CONTINUATION_GAP_MS and not full_list
-        self.poll_in_flight, self.poll_sent_ms, self.full_list_requested = True, now, full_list
+        continues = now <= self.last_response_ms + CONTINUATION_GAP_MS
+        self.long_polling = continues and not self.full_list_requested
+        self.poll_in_flight, self.poll_sent_ms = True, now
         self._set_poll_timer(self._poll_timeout_ms() / 1000.0, self._poll_timed_out)
         host = f"{self.address[0]}:{self.address[1]}"
         transport.write(f"GET {self._poll_target()} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
@@ -260,6 +265,10 @@
                 self._watch_ended()
                 return
             event = self._apply(response)
+        except GenerationWentBackError as fault:
+            log(f"discovery: {fault}")
+            self._poll_for_full_list()
+            return
         except (http1.MalformedError, ValueError) as fault:
             log(f"discovery: {fault}")
             self._poll_failed()
@@ -279,6 +288,13 @@
         log("discovery: the watch ended")
         self._poll_failed(reached=False)
 
+    def _poll_for_full_list(self) -> None:
+        """Ask for the full list at once: the changes in the response do not follow on the list held."""
+        self.poll_in_flight, self.full_list_requested = False, True
+        self._cancel_poll_timer()
+        self._close_connection()
+        self._poll()
+
     def _poll_succeeded(self, event: api.EndpointsListed, *, keep_alive: bool) -> None:
         quick = self.clock.now() - self.poll_sent_ms < 1000.0 * EMPTY_POLL_PAUSE_S
         first = not self.first_poll_done
