Log each poll's fate, the age of the list held, and why requests are refused or failed

Polls now carry numbers; the first, large and late answers are a line with what they changed; the line on an overdue list gives generation, age and the poll in flight; the stats count polls by outcome and give-ups by reason.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -135,10 +135,14 @@
 
     def _stats(self) -> None:
         """Now and then, what has been done since: a line for the operator."""
-        counts = dict(self.driver.counts, handshakes=self.pool.handshakes, late_connections=self.pool.late)
+        counts = {
+            **self.driver.counts, **self.watch.counts, "handshakes": self.pool.handshakes,
+            "late_connections": self.pool.late,
+        }
         changed = {k: v - self.told.get(k, 0) for k, v in counts.items() if v != self.told.get(k, 0)}
         if changed:
             log("stats " + " ".join(f"{k.replace(' ', '_')}={v}" for k, v in sorted(changed.items())))
+            log("list " + self.watch.figures())
             log("zones " + self.driver.balancer.figures())
         self.told = counts
         self.loop.call_later(STATS_S, self._stats)
--- a/honeywharf/brain.py
+++ b/honeywharf/brain.py
@@ -98,7 +98,7 @@
             while self.waiting and self.waiting[0][0] <= self.now:
                 request = self.requests.get(heapq.heappop(self.waiting)[1])
                 if request is not None and not request.attempts and not request.answered:
-                    self._give_up(request)
+                    self._give_up(request, api.GiveUpReason.NO_TIME)
 
     # The list of endpoints.
 
@@ -170,7 +170,7 @@
     def _arrived(self, event: api.RequestArrived) -> None:
         cls = self.classes.get(event.class_name)
         if cls is None:
-            self.actions.append(api.Fail(event.id))
+            self.actions.append(api.Fail(event.id, api.GiveUpReason.UNKNOWN_CLASS))
             return
         key = event.key if cls.in_order else ""
         request = Request(event.id, cls, key, self.now + event.remaining_ms, cls.worth)
@@ -216,12 +216,16 @@
 
     def _attempt(self, request: Request) -> None:
         """Send the request's next attempt, or end the request where there is nowhere to send it."""
-        left = request.deadline - self.now
-        server = self._choose(request) if left > 0 else None
-        if server is None:
-            self._give_up(request)
+        if request.deadline <= self.now:
+            self._give_up(request, api.GiveUpReason.NO_TIME)
             return
-        self._send(request, server)
+        server = self._choose(request)
+        if server is not None:
+            self._send(request, server)
+        elif self.overdue:
+            self._give_up(request, api.GiveUpReason.LIST_OVERDUE)
+        else:
+            self._give_up(request, api.GiveUpReason.NO_SERVER)
 
     def _send(self, request: Request, server: Server) -> None:
         zone = self.host_set.zones[server.endpoint.zone]
@@ -235,14 +239,14 @@
         self.actions.append(api.Send(
             request.id, server.endpoint.id, request.deadline - self.now, leave_within_ms))
 
-    def _give_up(self, request: Request) -> None:
+    def _give_up(self, request: Request, reason: api.GiveUpReason) -> None:
         if request.may_refuse():
             limits, again_ms = self.settings.limits, 0.0
             if limits.retry_after:  # spread, so that those who were refused together do not return together
                 again_ms = min(limits.max_retry_after_ms, self.random.uniform(*COME_BACK_MS))
-            self.actions.append(api.Refuse(request.id, again_ms))
+            self.actions.append(api.Refuse(request.id, again_ms, reason))
         else:
-            self.actions.append(api.Fail(request.id))
+            self.actions.append(api.Fail(request.id, reason))
         self._close(request)
 
     def _close(self, request: Request) -> None:
@@ -295,11 +299,13 @@
     def _again(self, request: Request, outcome: api.Outcome) -> None:
         """A further attempt within the rules and the retry budget, else the final answer."""
         cost = REJECTED_COST if outcome is api.Outcome.REJECTED else 0.0 if outcome in UNREACHED else 1.0
-        if len(request.attempts) < self.settings.limits.max_attempts and self.retry_tokens >= cost:
+        if len(request.attempts) >= self.settings.limits.max_attempts:
+            self._give_up(request, api.GiveUpReason.NO_ATTEMPT_LEFT)
+        elif self.retry_tokens < cost:
+            self._give_up(request, api.GiveUpReason.NO_RETRY_BUDGET)
+        else:
             self.retry_tokens -= cost
             self._attempt(request)
-        else:
-            self._give_up(request)
 
     def _overtake(self, answered: Attempt, cls: api.RequestClass) -> None:
         """Find the calls that hang: far over the usual time, at a server that answers later ones as usual.
--- a/honeywharf/interface.py
+++ b/honeywharf/interface.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -75,6 +76,17 @@
     NOT_SENT = "not sent"
 
 
+class GiveUpReason(Enum):
+    """Why a request ends without a further attempt."""
+
+    LIST_OVERDUE = "list overdue"  # what the list held may lack counts as told
+    NO_SERVER = "no server"  # none is usable and has room
+    NO_TIME = "no time"  # its deadline has come, in a queue or between attempts
+    NO_ATTEMPT_LEFT = "no attempt left"
+    NO_RETRY_BUDGET = "no retry budget"
+    UNKNOWN_CLASS = "unknown class"
+
+
 #: Outcomes that prove the attempt did not run.
 NEVER_RAN = frozenset({
     Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.CONNECT_TIMEOUT, Outcome.NOT_SENT})
@@ -275,6 +287,12 @@
     endpoints: tuple[Endpoint, ...] = ()
     serial: int = 0
 
+    def figures(self) -> str:
+        """What the list says, for the operator: its kind, its generation, and its entries by state."""
+        states = Counter(endpoint.state for endpoint in self.endpoints)
+        entries = ", ".join(f"{states[state]} {state.value}" for state in EndpointState)
+        return f"{self.kind.value} to generation {self.serial}: {entries}"
+
 
 @dataclass(slots=True, frozen=True)
 class ListOverdue:
@@ -399,6 +417,7 @@
 
     request: str
     retry_after_ms: float = 0.0
+    reason: GiveUpReason = field(default=GiveUpReason.NO_SERVER, compare=False)  # for the operator
 
 
 @dataclass(slots=True, frozen=True)
@@ -406,6 +425,7 @@
     """Final answer: failed, with no promise about the effect."""
 
     request: str
+    reason: GiveUpReason = field(default=GiveUpReason.NO_SERVER, compare=False)  # for the operator
 
 
 @dataclass(slots=True, frozen=True)
--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -45,6 +45,9 @@
 # Of the grace for drains, at most, where lists are pushed: the rest is for the poll itself.
 BACKOFF_SHARE_OF_GRACE = 0.5
 MAX_LIST_BYTES = 16 * 1024 * 1024
+# An answer of so many entries, or after so long in discovery's queue, is a line in the log of its own.
+LOGGED_ENTRIES = 20
+LOGGED_WAIT_MS = 1000.0
 OK = 200
 SERVICE_UNAVAILABLE = 503
 
@@ -112,8 +115,11 @@
         self.failures = 0  # in a row
         self.random = random.Random()
         self.connection: WatchConnection | None = None
+        self.poll_number = 0  # of the last poll, for the log
         self.poll_sent_ms = 0.0
         self.poll_in_flight = False
+        self.fresh_ms = float("-inf")  # when the list held counted as fresh last
+        self.counts: dict[str, int] = {}  # of polls by what became of them, for the operator
         self.connect_task: asyncio.Task[None] | None = None
         self.poll_timer: asyncio.TimerHandle | None = None  # the poll's timeout, or the pause before the next
 
@@ -166,6 +172,7 @@
 
     def _mark_fresh(self) -> None:
         """The list held lacks nothing that discovery has had up to now."""
+        self.fresh_ms = self.clock.now()
         self._set_staleness_timer(STALENESS_MS)
 
     def _set_staleness_timer(self, within_ms: float) -> None:
@@ -182,7 +189,8 @@
         if self._agent_down():
             self._mark_fresh()
             return
-        log("discovery: no list for so long that changes count as told")
+        log(f"discovery: no list for so long that changes count as told: {self.figures()}")
+        self._count("lists overdue")
         self.staleness_timer, self.stale = None, True
         self.notify(api.ListOverdue())
 
@@ -191,6 +199,22 @@
         return not self.polled and self.poll_in_flight and not self.long_polling and (
             self.clock.now() - self.poll_sent_ms >= AGENT_RESPONSE_MS)
 
+    # For the operator.
+
+    def figures(self) -> str:
+        """How the list held stands, in a few words: its generation, its age, and the poll in flight."""
+        age_s = (self.clock.now() - self.fresh_ms) / 1000.0
+        age = f"{age_s:.2f} s" if age_s < float("inf") else "unknown"
+        poll = f" poll={self.poll_number} for {self._poll_age_ms():.0f} ms" if self.poll_in_flight else ""
+        return (f"generation={self.directory.generation} endpoints={len(self.directory.endpoint_ids)} "
+                f"age={age} overdue={'yes' if self.stale else 'no'}{poll}")
+
+    def _poll_age_ms(self) -> float:
+        return self.clock.now() - self.poll_sent_ms
+
+    def _count(self, what: str) -> None:
+        self.counts[what] = self.counts.get(what, 0) + 1
+
     # Sending polls.
 
     def _poll(self) -> None:
@@ -211,6 +235,7 @@
         continues = now <= self.last_response_ms + CONTINUATION_GAP_MS
         self.long_polling = continues and not self.full_list_requested
         self.poll_in_flight, self.poll_sent_ms = True, now
+        self.poll_number += 1
         self._set_poll_timer(self._poll_timeout_ms() / 1000.0, self._poll_timed_out)
         host = f"{self.address[0]}:{self.address[1]}"
         transport.write(f"GET {self._poll_target()} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
@@ -247,6 +272,7 @@
 
     def _connect_failed(self, fault: OSError) -> None:
         self.connect_task = None
+        self._count("polls not connected")
         if fault.errno not in OWN_FAULTS and not self.may_have_missed_changes:
             self._mark_fresh()  # it could not be reached: nothing counts from before now
         self._poll_failed(reached=False)
@@ -266,11 +292,12 @@
                 return
             event = self._apply(response)
         except GenerationWentBackError as fault:
-            log(f"discovery: {fault}")
+            log(f"discovery: poll {self.poll_number}: {fault}")
             self._poll_for_full_list()
             return
         except (http1.MalformedError, ValueError) as fault:
-            log(f"discovery: {fault}")
+            self._count("polls failed")
+            log(f"discovery: poll {self.poll_number} after {self._poll_age_ms():.0f} ms: {fault}")
             self._poll_failed()
             return
         self._poll_succeeded(event, keep_alive=response.keep)
@@ -285,7 +312,8 @@
     def _watch_ended(self) -> None:
         """Discovery ended the watch, which stood until now: what changed before was told first."""
         self._mark_fresh()
-        log("discovery: the watch ended")
+        self._count("watches ended")
+        log(f"discovery: poll {self.poll_number}: the watch ended after {self._poll_age_ms():.0f} ms")
         self._poll_failed(reached=False)
 
     def _poll_for_full_list(self) -> None:
@@ -299,8 +327,8 @@
         quick = self.clock.now() - self.poll_sent_ms < 1000.0 * EMPTY_POLL_PAUSE_S
         first = not self.first_poll_done
         self.poll_in_flight = self.full_list_requested = self.address_changed = False
-        if first:
-            log(f"discovery: first answer, {len(self.directory.endpoint_ids)} endpoints")
+        self._count("polls answered")
+        self._log_answer(event, first=first)
         self.first_poll_done, self.last_response_ms = True, self.clock.now()
         self.failures = 0
         if not keep_alive:
@@ -320,10 +348,20 @@
             self._cancel_poll_timer()
             self._poll()
 
+    def _log_answer(self, event: api.EndpointsListed, *, first: bool) -> None:
+        """A line on the first answer, on one that ends an overdue list, on a large and on a late one."""
+        late = not self.long_polling and self._poll_age_ms() >= LOGGED_WAIT_MS
+        if not (first or self.stale or late or len(event.endpoints) >= LOGGED_ENTRIES):
+            return
+        log(f"discovery: {'first answer' if first else 'answer'}, {len(self.directory.endpoint_ids)} "
+            f"endpoints: poll {self.poll_number} after {self._poll_age_ms():.0f} ms, {event.figures()}")
+
     def connection_lost(self) -> None:
         """Forget the connection; the poll in flight on it has failed."""
         self.connection = None
         if self.poll_in_flight:
+            self._count("polls lost")
+            log(f"discovery: poll {self.poll_number}: connection lost after {self._poll_age_ms():.0f} ms")
             self._poll_failed()
 
     def _poll_timed_out(self) -> None:
@@ -332,7 +370,8 @@
         Guards against a list that stays stale: the new poll does not wait for changes, and comes without the
         backoff, the module's too, that follows on a failed poll.
         """
-        log(f"discovery: silent for {self.clock.now() - self.poll_sent_ms:.0f} ms")
+        self._count("polls timed out")
+        log(f"discovery: poll {self.poll_number}: silent for {self._poll_age_ms():.0f} ms")
         self.first_poll_done = self.may_have_missed_changes = True
         self.poll_in_flight, self.last_response_ms = False, float("-inf")
         self._close_connection()
--- a/honeywharf/net/driver.py
+++ b/honeywharf/net/driver.py
@@ -227,9 +227,9 @@
         if isinstance(action, api.Send):
             self._send(action)
         elif isinstance(action, api.Refuse):
-            self._answer(action.request, SERVICE_UNAVAILABLE, "refused", action.retry_after_ms)
+            self._give_up(action, SERVICE_UNAVAILABLE, "refused", action.retry_after_ms)
         elif isinstance(action, api.Fail):
-            self._answer(action.request, BAD_GATEWAY, "failed")
+            self._give_up(action, BAD_GATEWAY, "failed")
         elif isinstance(action, api.SetTimer):
             delay = max(0.0, action.at_ms - self.clock.now()) / 1000.0
             self.loop.call_later(delay, self._timer_fired, action.at_ms, action.token)
@@ -291,10 +291,13 @@
         probe.timer = self.loop.call_later(PROBE_TIMEOUT_MS / 1000.0, self._probe_time_out, probe)
         self.transport.start(probe)
 
-    def _answer(self, request: str, status: int, how: str, retry_after_ms: float = 0.0) -> None:
-        pending = self.requests.get(request)
+    def _give_up(
+        self, action: api.Refuse | api.Fail, status: int, how: str, retry_after_ms: float = 0.0,
+    ) -> None:
+        pending = self.requests.get(action.request)
         if pending is not None and not pending.over:
             self._conclude(pending, how)
+            self._count(f"{how} {action.reason.value}")
             pending.caller.answer(status, retry_after_ms=retry_after_ms)
 
     def fail_open_requests(self) -> None:
