--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager, suppress
 from typing import Any, TypeVar
@@ -80,6 +81,7 @@
 
     def __init__(self) -> None:
         self.requests: list[Message] = []
+        self.request_times: list[float] = []  # when each came, on the monotonic clock
         self.script: list[bytes | str | None] = []
         self.then: bytes | str | None = reply()
         self.connections = 0
@@ -100,6 +102,7 @@
         try:
             while True:
                 self.requests.append(await read_message(reader))
+                self.request_times.append(time.monotonic())
                 self.came.set()
                 step = self.script.pop(0) if self.script else self.then
                 if self.pause_s:
--- /dev/null
+++ b/tests/process.py
@@ -0,0 +1,59 @@
+"""The program as a process of its own, for the tests that need one."""
+
+from __future__ import annotations
+
+import json
+import os
+import resource
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+from tests.loopback import SETTINGS, WAIT_S, row
+
+ROOT = Path(__file__).parent.parent
+
+
+def write(path: Path, **changes: Any) -> dict[str, str]:
+    raw = {
+        "name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
+        "known": {"generation": 1, "reset": True, "instances": [row("b", 1)]}, **changes,
+    }
+    file = path / "config.json"
+    file.write_text(json.dumps(raw))
+    return {**os.environ, "NODE_CONFIG": str(file)}
+
+
+class Process:
+    """The program, listening."""
+
+    def __init__(self, path: Path, **changes: Any) -> None:
+        descriptors = changes.pop("descriptors", 1024)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "honeywharf"], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+            env=write(path, **changes),
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)))
+        assert self.process.stderr is not None
+        line = self.process.stderr.readline()
+        assert line.startswith("n listens on 127.0.0.1:")
+        self.port = int(line.rpartition(":")[2])
+
+    def connect(self) -> socket.socket:
+        made = socket.create_connection(("127.0.0.1", self.port), WAIT_S)
+        made.settimeout(WAIT_S)
+        return made
+
+    def get(self, path: str = "/health/ready") -> bytes:
+        with self.connect() as made:
+            made.sendall(f"GET {path} HTTP/1.1\r\n\r\n".encode())
+            return made.recv(4096)
+
+    def __enter__(self) -> Process:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.process.kill()
+        self.process.communicate()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
-import resource
 import signal
 import socket
 import subprocess
@@ -16,20 +14,8 @@
 import pytest
 
 from honeywharf.net import config
-from tests.loopback import SETTINGS, WAIT_S, row
-
-ROOT = Path(__file__).parent.parent
-
-
-def write(path: Path, **changes: Any) -> dict[str, str]:
-    raw = {
-        "name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
-        "known": {"generation": 1, "reset": True, "instances": [row("b", 1)]}, **changes,
-    }
-    file = path / "config.json"
-    file.write_text(json.dumps(raw))
-    return {**os.environ, "NODE_CONFIG": str(file)}
+from tests.loopback import SETTINGS, WAIT_S
+from tests.process import ROOT, Process, write
 
 
 def test_the_configuration_is_typed(tmp_path: Path) -> None:
@@ -65,38 +51,6 @@
             config.load(environ)
 
 
-class Process:
-    """The program, listening."""
-
-    def __init__(self, path: Path, **changes: Any) -> None:
-        descriptors = changes.pop("descriptors", 1024)
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "honeywharf"], cwd=ROOT, stderr=subprocess.PIPE, text=True,
-            env=write(path, **changes),
-            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)))
-        assert self.process.stderr is not None
-        line = self.process.stderr.readline()
-        assert line.startswith("n listens on 127.0.0.1:")
-        self.port = int(line.rpartition(":")[2])
-
-    def connect(self) -> socket.socket:
-        made = socket.create_connection(("127.0.0.1", self.port), WAIT_S)
-        made.settimeout(WAIT_S)
-        return made
-
-    def get(self, path: str = "/health/ready") -> bytes:
-        with self.connect() as made:
-            made.sendall(f"GET {path} HTTP/1.1\r\n\r\n".encode())
-            return made.recv(4096)
-
-    def __enter__(self) -> Process:
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self.process.kill()
-        self.process.communicate()
-
-
 def test_after_sigterm_it_ends_with_0(tmp_path: Path) -> None:
     with Process(tmp_path) as proxy:
         assert proxy.get("/nowhere").startswith(b"HTTP/1.1 404 ")
--- /dev/null
+++ b/tests/test_restart.py
@@ -0,0 +1,105 @@
+"""A restarted process and the list of its last life, in a fleet of thousands with discovery's queue full."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.loopback import SETTINGS, Backend, Client, Discovery, read_message, reply, run, until
+from tests.process import Process
+
+SERVERS = 2351
+GONE_SHARE = 6  # one server in so many was removed while the proxy was away
+QUEUE_S = 1.0  # how long discovery lets a poll wait before it refuses it
+GRACE_S = 0.25 + 0.05  # of the settings, and the slack of the rules on sockets
+TOLD_AFTER_S = 6.0  # a change counts as told so long after discovery had it, if nothing brought it
+OBSERVED_S = 3.6  # from the start of the process; the list held must not be used for 6 s from there
+CLIENTS = 4
+
+
+class CrowdedDiscovery(Discovery):
+    """Lets each poll wait in a queue and refuses it, until `admits` is set; then it answers with changes."""
+
+    def __init__(self, changes: list[dict[str, Any]]) -> None:
+        super().__init__()
+        self.admits = asyncio.Event()
+        self.body = json.dumps({"generation": 2, "reset": False, "instances": changes}).encode()
+        self.told = False
+
+    async def _answer(self) -> bytes:
+        if not self.admits.is_set():
+            await asyncio.sleep(QUEUE_S)
+        if not self.admits.is_set():
+            return reply(503, b"")
+        if self.told:
+            await asyncio.Event().wait()  # a watch with nothing to tell
+        self.told = True
+        return reply(200, self.body)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections.add(writer)
+        try:
+            while True:
+                first, _, _ = await read_message(reader)
+                self.calls.append(first)
+                writer.write(await self._answer())
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self.connections.discard(writer)
+            writer.close()
+
+
+async def send_until(end: asyncio.Event, port: int) -> None:
+    """Send one request after another; each has to get its answer."""
+    client = await Client.to(port)
+    while not end.is_set():
+        client.send()
+        assert await client.status() in (200, 503)
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("removed_before_s", [4.0, 8.0])
+def test_nothing_is_sent_to_servers_removed_while_the_proxy_was_away(
+    removed_before_s: float, tmp_path: Path,
+) -> None:
+    """The removal counts as told 6 s after discovery had it, whenever the process started.
+
+    The polls of a new process wait in discovery's queue and are refused, as it has thousands of entries to
+    tell to others. The list of the last life does not name the removal, and its age is not known.
+    """
+    async def main() -> None:
+        stays, leaves = await Backend().start(), await Backend().start()
+        rows = [(leaves if i % GONE_SHARE == 0 else stays).row(f"s-{i:08x}") for i in range(SERVERS)]
+        changes = [{**r, "lifecycle": "removed"} for r in rows[::GONE_SHARE]]
+        discovery = CrowdedDiscovery(changes)
+        await discovery.start()
+        started = time.monotonic()
+        removed = started - removed_before_s
+        known = {"generation": 1, "reset": True, "instances": rows}
+        contract = {"stopSendingWithinMs": 250.0, "askEveryMs": 1000.0}
+        settings = {**SETTINGS, "discovery": "ask", "contract": {**SETTINGS["contract"], **contract}}
+        where = f"127.0.0.1:{discovery.port}"
+        with Process(tmp_path, discovery=where, known=known, settings=settings) as proxy:
+            end = asyncio.Event()
+            clients = [asyncio.create_task(send_until(end, proxy.port)) for _ in range(CLIENTS)]
+            await asyncio.sleep(started + OBSERVED_S - time.monotonic())
+            assert len(discovery.calls) >= 2  # it goes on asking
+            discovery.admits.set()
+            await until(lambda: discovery.told)
+            served = len(stays.requests)
+            await until(lambda: len(stays.requests) >= served + 50)  # and serves once discovery has answered
+            end.set()
+            await asyncio.gather(*clients)
+        told = max(started, removed + TOLD_AFTER_S)
+        late = [round(at - told, 2) for at in leaves.request_times if at > told + GRACE_S]
+        assert not late, f"{len(late)} requests to removed servers, the first {late[0]} s after the word"
+        for backend in (stays, leaves):
+            await backend.stop()
+        await discovery.stop()
+    run(main())
