Send nothing on the list of the last life until discovery has answered, asked or pushed

The class: the age of what is held counted from an event at the proxy (its start) and not from when it was true at its source.

Change: in both modes the list of the last run is overdue from the start, as it was where lists are pushed, and a failed connection does not make it fresh; a process is ready once discovery has answered, or after 5 s.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -56,15 +56,11 @@
             loop, self.clock, conf.discovery, self.directory, self.driver.discovery_event,
             polled=conf.settings.polled_discovery, drain_grace_ms=conf.settings.rules.drain_grace_ms)
         self.driver.registry = self.watch
-        # A list held serves at once. Guards against a restarted proxy that knows its backends and stays out
-        # of service while discovery is slow: a rolling restart then leaves no proxy of the tier in service.
-        # But where lists are pushed, what the agent has counts as told from a process's first moment, and the
-        # list held may be old: there the first answer is waited for, which comes within milliseconds, and so
-        # it is where no list is held. In neither case for long: the module refuses what it cannot send.
+        # Out of service until discovery has answered, as nothing is sent on the list of the last run before
+        # that. But not for long: the module refuses what it cannot send.
         self.frontend = Frontend(
             loop, self.clock, self.driver, room - upstream,
-            lambda: self.waited or self.watch.first_poll_done or (
-                conf.settings.polled_discovery and bool(self.directory.endpoint_ids)))
+            lambda: self.waited or self.watch.first_poll_done)
         self.waited = False  # discovery has been waited for long enough
         self.stopped = asyncio.Event()
         self.told: dict[str, int] = {}
--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -111,7 +111,8 @@
         # When it fires, changes that the directory may lack count as told.
         self.staleness_timer: asyncio.TimerHandle | None = None
         self.stale = False  # it has fired, and no list has come since
-        self.may_have_missed_changes = False  # a poll that reached discovery brought no list
+        # A poll that reached discovery brought no list; and the list of the last run may lack anything.
+        self.may_have_missed_changes = True
         self.failures = 0  # in a row
         self.random = random.Random()
         self.connection: WatchConnection | None = None
@@ -124,14 +125,12 @@
         self.poll_timer: asyncio.TimerHandle | None = None  # the poll's timeout, or the pause before the next
 
     def start(self) -> None:
-        """Use the list of the last run until it may be stale; where lists are pushed that is at once.
+        """Have nothing sent until discovery has answered: the list of the last run is of unknown age.
 
-        There, what the agent has counts as told from a process's first moment.
+        Changes made while the proxy was away count as told by when they were made, not by when it started.
         """
-        if self.polled:
-            self._mark_fresh()
-        else:
-            self._staleness_timed_out()
+        self._expire()
+        if not self.polled:
             self.watch()
 
     # Requests of the module and of the process.
@@ -189,7 +188,11 @@
         if self._agent_down():
             self._mark_fresh()
             return
-        log(f"discovery: no list for so long that changes count as told: {self.figures()}")
+        self._expire()
+
+    def _expire(self) -> None:
+        """Have nothing sent until the next list."""
+        log(f"discovery: changes that the list held may lack count as told: {self.figures()}")
         self._count("lists overdue")
         self.staleness_timer, self.stale = None, True
         self.notify(api.ListOverdue())
