Count a list's age from when discovery is known to have been no further, not from its receipt

Change: honeywharf/policy/list_freshness.py, without I/O or clock, decides until when the list may be used and how long a poll waits. An answer counts from when its poll was sent; word of no change from the end of the wait; a 503 ends a watch only if its poll followed within 0.15 s on the earliest time of the answer before. The wait shrinks with the time left, so that a quiet watch is never overdue.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -71,7 +71,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.drain)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
-        self.driver.start(self.directory.apply(self.conf.known, api.ListKind.CACHED))
+        known = self.directory.apply(self.conf.known, api.ListKind.CACHED)
+        self.driver.start(replace(known, usable_until_ms=float("-inf")))  # until discovery has answered
         host, port = await self.frontend.listen(self.conf.listen)
         log(f"{self.conf.name} listens on {host}:{port}")
         self.watch.start()
--- a/honeywharf/brain.py
+++ b/honeywharf/brain.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
 from collections import deque
 
@@ -54,7 +55,7 @@
         self.mean_worth = max(c.worth for c in settings.classes) or 1.0
         self.retry_tokens = RETRY_BURST
         self.failed_watches, self.now = 0, 0.0
-        self.overdue = False  # what the list held may lack counts as told
+        self.list_usable_until_ms = math.inf  # from then on what the list held may lack counts as told
         self.actions: list[api.Action] = []
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
@@ -66,8 +67,8 @@
             self._ended(event)
         elif isinstance(event, api.EndpointsListed):
             self._listed(event)
-        elif isinstance(event, api.ListOverdue):
-            self.overdue = True
+        elif isinstance(event, api.ListUsableUntil):
+            self.list_usable_until_ms = event.at_ms
         elif isinstance(event, api.RequestExpired):
             if event.request in self.requests:
                 self._close(self.requests[event.request])
@@ -114,15 +115,19 @@
             most = max(LEAST_PAUSE_MS, LINE_MS * self.settings.balancers)
             self._watch_soon(min(longest, most, longest / 10 * 2 ** self.failed_watches))
             return
-        self.failed_watches, self.overdue = 0, False
+        self.failed_watches, self.list_usable_until_ms = 0, event.usable_until_ms
         self.host_set.update(event, self.now)
 
+    def _list_overdue(self) -> bool:
+        """Whether nothing may be sent on the list held, by the clock: a timer may come late."""
+        return self.now >= self.list_usable_until_ms
+
     # The choice.
 
     def _choose(self, request: Request) -> Server | None:
         """An even random choice in the first level where a few picks find a usable server."""
         self.host_set.refresh_if_due(self.now)
-        if self.overdue:
+        if self._list_overdue():
             # Guards against sending to a server whose drain or end counts as told: each one listed may have
             # begun to drain, and that it answers shows nothing, as draining servers take calls too.
             return None
@@ -222,14 +227,14 @@
         server = self._choose(request)
         if server is not None:
             self._send(request, server)
-        elif self.overdue:
+        elif self._list_overdue():
             self._give_up(request, api.GiveUpReason.LIST_OVERDUE)
         else:
             self._give_up(request, api.GiveUpReason.NO_SERVER)
 
     def _send(self, request: Request, server: Server) -> None:
         zone = self.host_set.zones[server.endpoint.zone]
-        leave_within_ms = request.latest_repeat() - self.now
+        leave_within_ms = min(request.latest_repeat(), self.list_usable_until_ms) - self.now
         attempt = Attempt(request.id, server, zone, self.now, self.now, server.ejections)
         request.attempts.append(attempt)
         server.calls[attempt] = None
--- a/honeywharf/interface.py
+++ b/honeywharf/interface.py
@@ -281,11 +281,15 @@
 
 @dataclass(slots=True, frozen=True)
 class EndpointsListed:
-    """Word from discovery. A FAILED event carries no endpoints: the list held stands."""
+    """Word from discovery. A FAILED event carries no endpoints: the list held stands.
+
+    `usable_until_ms`: nothing may be sent on the list from then on, until another event gives a later time.
+    """
 
     kind: ListKind
     endpoints: tuple[Endpoint, ...] = ()
     serial: int = 0
+    usable_until_ms: float = math.inf
 
     def figures(self) -> str:
         """What the list says, for the operator: its kind, its generation, and its entries by state."""
@@ -295,12 +299,14 @@
 
 
 @dataclass(slots=True, frozen=True)
-class ListOverdue:
-    """What the list held may lack counts as told.
+class ListUsableUntil:
+    """Nothing may be sent on the list held from then on, as changes that it may lack count as told.
 
-    It holds until the next list comes, if only one that tells of no change.
+    A time that has passed holds until the next list comes, if only one that tells of no change.
     """
 
+    at_ms: float
+
 
 @dataclass(slots=True, frozen=True)
 class RequestArrived:
@@ -381,8 +387,8 @@
 
 
 Event = (
-    Started | EndpointsListed | ListOverdue | RequestArrived | AttemptOpened | AttemptEnded | RequestExpired
-    | ProbeEnded | TimerFired | PeerMessage
+    Started | EndpointsListed | ListUsableUntil | RequestArrived | AttemptOpened | AttemptEnded
+    | RequestExpired | ProbeEnded | TimerFired | PeerMessage
 )
 
 
--- a/honeywharf/net/driver.py
+++ b/honeywharf/net/driver.py
@@ -98,14 +98,14 @@
             self._conclude(pending, "gone")
             self._enqueue(api.RequestExpired(request.id), pending)
 
-    def discovery_event(self, event: api.EndpointsListed | api.ListOverdue) -> None:
+    def discovery_event(self, event: api.EndpointsListed | api.ListUsableUntil) -> None:
         """Process an event from discovery before all queued ones: a drain applies to each send after it.
 
-        Attempts decided on a list that is now overdue, and not wholly written yet, are aborted.
+        Attempts decided on a list that may not be used any more, and not wholly written yet, are aborted.
         """
         self.events.appendleft((event, None))
         self._process_events()
-        if isinstance(event, api.ListOverdue):
+        if isinstance(event, api.ListUsableUntil) and event.at_ms <= self.clock.now():
             for pending in list(self.requests.values()):
                 self._abort_unsent(pending)
 
--- /dev/null
+++ b/honeywharf/policy/list_freshness.py
@@ -0,0 +1,68 @@
+"""The freshness of the endpoint list held: until when it may be used, and how long a poll may wait.
+
+A change counts as told so long after discovery had it, whether or not it arrived. So the list's age counts
+from the latest moment at which discovery is known to have had nothing newer. That moment is never taken from
+when an answer was received, processed or loaded: an answer may be under way for long, and a process held up.
+"""
+
+from __future__ import annotations
+
+import math
+
+# A change counts as told so long after discovery had it and could be reached, whatever became of the polls;
+# after SIGHUP all that the new address has counts, so long after the signal.
+MAX_AGE_MS = 6000.0
+MAX_AGE_AFTER_MOVE_MS = 4000.0
+# The longest wait of one poll: a cut connection says nothing until it is over, and the next poll has to be
+# answered before what was missed counts as told. Renewing a standing watch does not queue at discovery.
+LONGEST_WAIT_MS = 4000
+# Of the time that the list may still be used, what is left once the wait is over: for noticing that there is
+# no answer, and for a new poll.
+LEFT_AFTER_WAIT_MS = 1500.0
+SHORTEST_WAIT_MS = 100  # of a poll that continues a watch: a shorter one might as well not wait
+# Between two polls of one watch: discovery ends it 0.2 s after it wrote its answer, less the way there.
+CONTINUATION_GAP_MS = 150.0
+
+
+class ListFreshness:
+    """When the list held was last known to be current, and what follows from that.
+
+    All times are milliseconds on the caller's clock. A list of unknown age is never usable.
+    """
+
+    def __init__(self) -> None:
+        self.current_at_ms = -math.inf  # discovery had nothing newer then
+        self.expires_ms = -math.inf  # changes that the list may lack count as told from then on
+
+    def confirm(self, at_ms: float) -> None:
+        """Discovery had nothing newer than the list held at that time."""
+        self.current_at_ms = max(self.current_at_ms, at_ms)
+        self.expires_ms = max(self.expires_ms, at_ms + MAX_AGE_MS)
+
+    def confirm_answer(self, sent_ms: float, wait_ms: float, *, unchanged: bool, now: float) -> None:
+        """Take in the answer to a poll: it holds all that discovery had when the poll was sent, at least.
+
+        One that tells of no change was written once the wait had passed, and tells it for that time.
+        """
+        waited = unchanged and now >= sent_ms + wait_ms
+        self.confirm(sent_ms + wait_ms if waited else sent_ms)
+
+    def move(self, now: float) -> None:
+        """Discovery has moved: what the new address has counts as told sooner."""
+        self.expires_ms = min(self.expires_ms, now + MAX_AGE_AFTER_MOVE_MS)
+
+    def is_usable(self, now: float) -> bool:
+        """Whether the list may be used."""
+        return now < self.expires_ms
+
+    def watch_stands(self, now: float) -> bool:
+        """Whether a poll sent now is sure to continue the watch.
+
+        Its last answer, written at `current_at_ms` at the earliest, must be younger than the gap allowed.
+        """
+        return now <= self.current_at_ms + CONTINUATION_GAP_MS
+
+    def wait_ms(self, now: float) -> int:
+        """How long a poll that continues a watch may wait for changes."""
+        longest = self.expires_ms - now - LEFT_AFTER_WAIT_MS
+        return int(max(SHORTEST_WAIT_MS, min(LONGEST_WAIT_MS, longest)))
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -49,7 +49,7 @@
     driver.list(TWO_ZONES)
     driver.fill(20)
     driver.request()
-    driver.feed(api.ListOverdue())
+    driver.feed(api.ListUsableUntil(driver.now))
     assert isinstance(driver.end(api.Outcome.REJECTED)[-1], api.Refuse)  # no further attempt either
     for _ in range(20):
         driver.now += 1000.0
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -7,8 +7,9 @@
 
 import pytest
 
-from honeywharf.net import discovery as discovery_module, downstream
+from honeywharf.net import downstream
 from honeywharf.net.clock import Clock
+from honeywharf.policy import list_freshness
 from tests.loopback import Backend, Client, Discovery, World, make_config, run, until
 
 PROXIES, BACKENDS, PER_S = 24, 10, 24.0  # calls a second, over all proxies
@@ -39,7 +40,7 @@
 
     Beyond that part only 2 sqrt(N) + 2 calls are chance.
     """
-    monkeypatch.setattr(discovery_module, "STALENESS_MS", 1e9)
+    monkeypatch.setattr(list_freshness, "MAX_AGE_MS", 1e9)
     for name in ("SILENT_MS", "IDLE_MS", "CROWDED_IDLE_MS"):  # callers stay, however fast the clock goes
         monkeypatch.setattr(downstream, name, 1e9)
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -84,7 +84,7 @@
             watch, notify = w.proxy.watch, w.proxy.watch.notify
             await until(lambda: len(w.discovery.calls) == 2)
 
-            def ask(event: api.EndpointsListed | api.ListOverdue) -> None:
+            def ask(event: api.EndpointsListed | api.ListUsableUntil) -> None:
                 notify(event)
                 watch.notify = notify
                 watch.fetch()
@@ -300,11 +300,17 @@
 
 def due_s(w: World) -> float:
     """In how many seconds what the list held may lack counts as told."""
-    due = w.proxy.watch.staleness_timer
+    due = w.proxy.watch.expiry_timer
     assert due is not None
     return round(due.when() - asyncio.get_running_loop().time(), 3)  # the loop's times are whole ms
 
 
+def expires_in(w: World, left_ms: float) -> None:
+    """Let the list held be usable for so much longer."""
+    w.proxy.watch.freshness.expires_ms = w.proxy.clock.now() + left_ms
+    w.proxy.watch._set_expiry_timer()
+
+
 @pytest.mark.parametrize("mode", ["ask", "push"])
 @pytest.mark.parametrize("ends", ["refused", "lost", "given up", "spoilt"])
 def test_a_change_that_no_call_brought_counts_as_told_6_s_later(mode: str, ends: str) -> None:
@@ -340,7 +346,7 @@
                 await until(lambda: lists(w)[-1].kind is api.ListKind.FAILED)
                 w.proxy.watch.watch()
             elif mode == "push" and w.proxy.watch.poll_timer is not None and ends != "given up":
-                await until(lambda: not w.proxy.watch.poll_in_flight)
+                await until(lambda: w.proxy.watch.poll is None)
                 w.proxy.watch._poll()
             await until(lambda: len(discovery.calls) > calls)  # noqa: B023
             assert due_s(w) <= listed
@@ -348,7 +354,7 @@
         client.send()
         assert await client.status() == 200
         sent = len(leaves.requests) + len(stays.requests)
-        w.proxy.watch._staleness_timed_out()
+        w.proxy.watch._expiry_reached()
         for _ in range(12):
             client.send()
             assert await client.status() == 503
@@ -356,7 +362,7 @@
         discovery.tell(1)
         if mode == "push":
             w.proxy.watch._poll()
-        await until(lambda: not w.proxy.watch.stale)
+        await until(lambda: not w.proxy.watch.overdue)
         client.send()
         assert await client.status() == 200
         assert w.running is not None
@@ -376,17 +382,18 @@
             await until(lambda: len(w.discovery.calls) == 2)
             watch._poll_timed_out()
             await until(lambda: len(w.discovery.calls) == 3)
-            watch._set_staleness_timer(1000.0)
-            watch.poll_sent_ms -= 1000.0
-            watch._staleness_timed_out()
-            assert not watch.stale
+            expires_in(w, 1000.0)
+            assert watch.poll is not None
+            watch.poll.sent_ms -= 1000.0
+            watch._expiry_reached()
+            assert not watch.overdue
             assert due_s(w) > 5.0
             client = await Client.to(w.port)
             client.send()
             assert await client.status() == 200
-            watch.poll_sent_ms += 1000.0  # a call just made shows nothing
-            watch._staleness_timed_out()
-            assert watch.stale
+            watch.poll.sent_ms += 1000.0  # a call just made shows nothing
+            watch._expiry_reached()
+            assert watch.overdue
         await backend.stop()
     run(main())
 
@@ -400,7 +407,7 @@
             client = await Client.to(w.port)
             client.send("pay")
             await until(lambda: w.proxy.pool.handshakes == 1)
-            w.proxy.watch._staleness_timed_out()
+            w.proxy.watch._expiry_reached()
             assert await client.status() == 503
             gate.let.set()
             await until(lambda: not w.proxy.pool.tasks)
@@ -419,12 +426,12 @@
         w.proxy.watch.watch()
         await until(lambda: len(discovery.calls) == 2)
         assert b"&wait_ms=4000 " in discovery.calls[1]
-        w.proxy.watch._set_staleness_timer(3000.0)
+        expires_in(w, 3000.0)
         discovery.answers.put_nowait(reply(503))  # the watch stood until it was ended by a word
         await until(lambda: lists(w)[-1].kind is api.ListKind.FAILED)
         assert due_s(w) > 4.0
         await discovery.stop()
-        w.proxy.watch._set_staleness_timer(3000.0)
+        expires_in(w, 3000.0)
         w.proxy.watch.watch()
         await until(lambda: w.proxy.watch.connect_task is None)
         assert due_s(w) > 4.0  # down: it could not have been told
@@ -557,7 +564,7 @@
 
         def held_up(now_ms: float, event: api.Event) -> list[api.Action]:
             if isinstance(event, api.EndpointsListed):
-                watch.last_response_ms -= 200.0  # as if the loop had been busy for so long
+                watch.last_answer_ms -= 200.0  # as if the loop had been busy for so long
             return []
 
         w.proxy.driver.balancer.handle = held_up  # type: ignore[method-assign]
@@ -565,9 +572,9 @@
         watch.watch()
         await until(lambda: len(discovery.calls) == 2)
         assert b"&wait_ms=0 " in discovery.calls[1]
-        watch._set_staleness_timer(3000.0)
+        expires_in(w, 3000.0)
         discovery.answers.put_nowait(reply(503))
-        await until(lambda: not watch.poll_in_flight)
+        await until(lambda: watch.poll is None)
         assert due_s(w) <= 3.0
         assert w.running is not None
         w.running.cancel()
