Keep tests that count connections from taking a loaded machine's delay for a late connection

Traced: an ordinary connection that takes over 10 ms is dialled beside, as it should be, and the further connection stays open, so that a count of connections never comes to what the test waits for. The code is as before. Outside test_dialing.py, where tests set the delays themselves, the least patience is a minute now; every assertion stays.

Also a test of a process that is stopped for longer than its list may be used.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
-"""Tests that fail for a known fault: KNOWN-RED.txt lists them, and a run passes over just these.
+"""What holds for all tests: those that fail for a known fault, and connections that no loaded machine delays.
 
-A line of the file is `test | cause | issue`, with the test's node id; three lines at most.
+KNOWN-RED.txt lists the tests that fail for a known fault; a run passes over just these and prints them. A
+line of the file is `test | cause | issue`, with the test's node id; three lines at most.
 """
 
 from __future__ import annotations
@@ -9,6 +10,8 @@
 
 import pytest
 
+from honeywharf.net import connect_times
+
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 MOST_KNOWN_RED = 3
 
@@ -38,3 +41,14 @@
     if terminal is not None:  # the quiet run of CI has no header
         for test, why in listed.items():
             terminal.write_line(f"known red: {test}: {why}")
+
+
+@pytest.fixture(autouse=True)
+def ordinary_connections_are_in_time(request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have no further connection dialled beside one that a loaded machine delays for over 10 ms.
+
+    Tests of other things count connections. Those of late connections, in test_dialing.py, set the delays
+    themselves and keep the real patience.
+    """
+    if request.module.__name__ != "tests.test_dialing":
+        monkeypatch.setattr(connect_times, "LEAST_PATIENCE_MS", 60_000.0)
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -1,9 +1,10 @@
-"""A restarted process and the list of its last life, in a fleet of thousands with discovery's queue full."""
+"""A process that was away, restarted or stopped, and the list that it held; discovery does not answer."""
 
 from __future__ import annotations
 
 import asyncio
 import json
+import signal
 import time
 from pathlib import Path
 from typing import Any
@@ -55,6 +56,11 @@
             writer.close()
 
 
+def ask_settings() -> dict[str, Any]:
+    contract = {"stopSendingWithinMs": 250.0, "askEveryMs": 1000.0}
+    return {**SETTINGS, "discovery": "ask", "contract": {**SETTINGS["contract"], **contract}}
+
+
 async def send_until(end: asyncio.Event, port: int) -> None:
     """Send one request after another; each has to get its answer."""
     client = await Client.to(port)
@@ -82,10 +88,8 @@
         started = time.monotonic()
         removed = started - removed_before_s
         known = {"generation": 1, "reset": True, "instances": rows}
-        contract = {"stopSendingWithinMs": 250.0, "askEveryMs": 1000.0}
-        settings = {**SETTINGS, "discovery": "ask", "contract": {**SETTINGS["contract"], **contract}}
         where = f"127.0.0.1:{discovery.port}"
-        with Process(tmp_path, discovery=where, known=known, settings=settings) as proxy:
+        with Process(tmp_path, discovery=where, known=known, settings=ask_settings()) as proxy:
             end = asyncio.Event()
             clients = [asyncio.create_task(send_until(end, proxy.port)) for _ in range(CLIENTS)]
             await asyncio.sleep(started + OBSERVED_S - time.monotonic())
@@ -103,3 +107,27 @@
             await backend.stop()
         await discovery.stop()
     run(main())
+
+
+def test_nothing_is_sent_to_servers_removed_while_the_process_was_stopped(tmp_path: Path) -> None:
+    """It is stopped for longer than its list may be used, and finds a request before its timers have run."""
+    async def main() -> None:
+        leaves, discovery = await Backend().start(), await Discovery().start()
+        rows = [leaves.row(f"s-{i:08x}") for i in range(SERVERS)]
+        known = {"generation": 1, "reset": True, "instances": rows}
+        discovery.tell(1)  # nothing new; the watch after it never hears of the removal
+        where = f"127.0.0.1:{discovery.port}"
+        with Process(tmp_path, discovery=where, known=known, settings=ask_settings()) as proxy:
+            await until(lambda: len(discovery.calls) == 2)
+            client = await Client.to(proxy.port)
+            client.send()
+            assert await client.status() == 200
+            proxy.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(TOLD_AFTER_S + GRACE_S)
+            client.send()
+            proxy.process.send_signal(signal.SIGCONT)
+            assert await client.status() == 503
+            assert len(leaves.requests) == 1
+        await leaves.stop()
+        await discovery.stop()
+    run(main())
