--- a/honeywharf/policy/host_set.py
+++ b/honeywharf/policy/host_set.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 
 from honeywharf import interface as api
 from honeywharf.policy.concurrency import Zone
@@ -91,6 +92,9 @@
         self.refresh_due_ms = now + REFRESH_INTERVAL_MS
         ready = [s for s in self.servers.values() if s.endpoint.state is api.EndpointState.READY]
         for server in ready:
+            if server.endpoint.started_ms is None and server.relative_latency <= FULL_SHARE_LATENCY:
+                server.warming_up, server.share = False, 1.0  # most of thousands: the same, in less time
+                continue
             latency_share = min(1.0, FULL_SHARE_LATENCY / server.relative_latency) ** 2
             warm_fraction = self._warm_fraction(server.endpoint, now)
             server.warming_up = warm_fraction < 1.0
@@ -109,15 +113,17 @@
             zone.limit = zone.limit or initial_limit  # the limit keeps what it has learned
             zone.first = initial_limit
             zone.spare, zone.ready, zone.capacity = 0, 0, 0.0
-        for server in ready:
-            self.zones[server.endpoint.zone].spare -= 2
-            self.zones[server.endpoint.zone].ready += 1
+        for name, count in Counter([s.endpoint.zone for s in ready]).items():
+            self.zones[name].spare -= 2 * count
+            self.zones[name].ready += count
         mean_size = sum(s.endpoint.size for s in ready) / max(1, len(ready)) or 1.0
         for server in self.usable:
-            server.capacity = server.share * server.endpoint.size / mean_size
+            endpoint = server.endpoint
+            server.capacity = server.share * endpoint.size / mean_size
+            zone = self.zones[endpoint.zone]
             # Guards against overloading the first cold servers of a zone that has lost all others.
-            self.zones[server.endpoint.zone].capacity += server.capacity
-            self.zones[server.endpoint.zone].spare += 3
+            zone.capacity += server.capacity
+            zone.spare += 3
 
     def _warm_fraction(self, endpoint: api.Endpoint, now: float) -> float:
         """The part of its capacity that a server has at least, by the time since it started.
