Bound a list's age by the interval of asking too, where the settings give a short one

The settings' askEveryMs tells what a proxy without a watch is deemed told of; it was not looked at. Under 6 s it now bounds the age of the list held, but not under 2 s, as a watch that stands is exempt.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -54,7 +54,7 @@
         self.directory = Directory(self.pool)
         self.watch = Watch(
             loop, self.clock, conf.discovery, self.directory, self.driver.discovery_event,
-            polled=conf.settings.polled_discovery, drain_grace_ms=conf.settings.rules.drain_grace_ms)
+            polled=conf.settings.polled_discovery, rules=conf.settings.rules)
         self.driver.registry = self.watch
         # Out of service until discovery has answered, as nothing is sent on the list of the last run before
         # that. But not for long: the module refuses what it cannot send.
--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -67,8 +67,9 @@
     def __init__(
         self, loop: asyncio.AbstractEventLoop, clock: Clock, address: Address, directory: Directory,
         notify: Callable[[api.EndpointsListed | api.ListUsableUntil], None], *, polled: bool,
-        drain_grace_ms: float,
+        rules: api.Rules,
     ) -> None:
+        drain_grace_ms = rules.drain_grace_ms
         self.loop, self.clock, self.address, self.directory = loop, clock, address, directory
         self.notify = notify
         self.polled = polled  # the module asks for each watch, and is notified when one fails
@@ -82,7 +83,7 @@
         self.address_changed = False  # until the new address has answered
         self.first_poll_done = False  # it has been answered, or has timed out
         self.last_answer_ms = float("-inf")  # when the last poll's answer began, if it was answered
-        self.freshness = ListFreshness()
+        self.freshness = ListFreshness(rules.ask_every_ms if polled else 0.0)
         self.expiry_timer: asyncio.TimerHandle | None = None
         self.overdue = False  # the module has been told to use the list no more, and none has come since
         # A poll that reached discovery brought no list; and the list of the last run may lack anything.
--- a/honeywharf/policy/list_freshness.py
+++ b/honeywharf/policy/list_freshness.py
@@ -16,9 +16,12 @@
 # The longest wait of one poll: a cut connection says nothing until it is over, and the next poll has to be
 # answered before what was missed counts as told. Renewing a standing watch does not queue at discovery.
 LONGEST_WAIT_MS = 4000
-# Of the time that the list may still be used, what is left once the wait is over: for noticing that there is
-# no answer, and for a new poll.
-LEFT_AFTER_WAIT_MS = 1500.0
+# Where the settings ask for calls in quicker succession, a list's greatest age is theirs, but not under this:
+# a watch that stands is exempt, and renewing it more often would load discovery.
+LEAST_MAX_AGE_MS = 2000.0
+# Of a list's greatest age, what is left once the wait is over: for noticing that there is no answer, and for
+# a new poll.
+LEFT_AFTER_WAIT = 0.25
 SHORTEST_WAIT_MS = 100  # of a poll that continues a watch: a shorter one might as well not wait
 # Between two polls of one watch: discovery ends it 0.2 s after it wrote its answer, less the way there.
 CONTINUATION_GAP_MS = 150.0
@@ -30,14 +33,18 @@
     All times are milliseconds on the caller's clock. A list of unknown age is never usable.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, ask_every_ms: float = 0.0) -> None:
+        # A balancer without a watch that has not asked for so long is deemed told of what was listed that
+        # long ago; 0 where the settings say nothing of it.
+        told_ms = max(LEAST_MAX_AGE_MS, ask_every_ms) if ask_every_ms > 0 else MAX_AGE_MS
+        self.max_age_ms = min(MAX_AGE_MS, told_ms)
         self.current_at_ms = -math.inf  # discovery had nothing newer then
         self.expires_ms = -math.inf  # changes that the list may lack count as told from then on
 
     def confirm(self, at_ms: float) -> None:
         """Discovery had nothing newer than the list held at that time."""
         self.current_at_ms = max(self.current_at_ms, at_ms)
-        self.expires_ms = max(self.expires_ms, at_ms + MAX_AGE_MS)
+        self.expires_ms = max(self.expires_ms, at_ms + self.max_age_ms)
 
     def confirm_answer(self, sent_ms: float, wait_ms: float, *, unchanged: bool, now: float) -> None:
         """Take in the answer to a poll: it holds all that discovery had when the poll was sent, at least.
@@ -64,5 +71,5 @@
 
     def wait_ms(self, now: float) -> int:
         """How long a poll that continues a watch may wait for changes."""
-        longest = self.expires_ms - now - LEFT_AFTER_WAIT_MS
+        longest = self.expires_ms - now - LEFT_AFTER_WAIT * self.max_age_ms
         return int(max(SHORTEST_WAIT_MS, min(LONGEST_WAIT_MS, longest)))
