--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -14,6 +14,7 @@
 from honeywharf.net.clock import Clock
 from honeywharf.net.config import Address
 from honeywharf.net.directory import Directory, GenerationWentBackError
+from honeywharf.net.list_expiry import ListExpiry
 from honeywharf.net.log import log
 from honeywharf.net.watch_connection import WatchConnection
 from honeywharf.policy.list_freshness import CONTINUATION_GAP_MS, ListFreshness
@@ -84,8 +85,7 @@
         self.first_poll_done = False  # it has been answered, or has timed out
         self.last_answer_ms = float("-inf")  # when the last poll's answer began, if it was answered
         self.freshness = ListFreshness(rules.ask_every_ms if polled else 0.0)
-        self.expiry_timer: asyncio.TimerHandle | None = None
-        self.overdue = False  # the module has been told to use the list no more, and none has come since
+        self.expiry = ListExpiry(loop, clock, self.freshness, notify, self._expiry_reached)
         # A poll that reached discovery brought no list; and the list of the last run may lack anything.
         self.may_have_missed_changes = True
         self.failures = 0  # in a row
@@ -126,8 +126,7 @@
         """
         if address == self.address:
             return
-        self.freshness.move(self.clock.now())
-        self._expiry_changed()
+        self.expiry.move()
         self.address, self.address_changed = address, True
         self.failures, self.may_have_missed_changes = 0, True
         self.last_answer_ms = float("-inf")
@@ -141,46 +140,21 @@
 
     # Until when the list held may be used.
 
-    def _confirm_without_list(self) -> None:
-        """Discovery has had nothing newer than the list held up to now, as far as that is usable at all."""
-        now = self.clock.now()
-        if not self.overdue and self.freshness.is_usable(now):
-            self.freshness.confirm(now)
-            self._expiry_changed()
-
-    def _expiry_changed(self) -> None:
-        """Tell the module until when it may use the list, and come back then."""
-        if self.overdue:
-            return
-        self._set_expiry_timer()
-        self.notify(api.ListUsableUntil(self.freshness.expires_ms))
-
-    def _set_expiry_timer(self) -> None:
-        if self.expiry_timer is not None:
-            self.expiry_timer.cancel()
-        left_ms = self.freshness.expires_ms - self.clock.now()
-        self.expiry_timer = self.loop.call_later(max(0.0, left_ms) / 1000.0, self._expiry_reached)
-
     def _expiry_reached(self) -> None:
         """Have nothing sent any more, as changes that the list held may lack count as told.
 
         But an agent that accepts a new poll and does not respond is down and learns nothing: no time passes.
         """
         if self._agent_down():
-            self.freshness.confirm(self.clock.now())
-            self._expiry_changed()
-            return
-        self._expire("changes that it may lack count as told")
+            self.expiry.confirm_at_end()
+        else:
+            self._expire("changes that it may lack count as told")
 
     def _expire(self, why: str) -> None:
         """Have nothing sent until the next list."""
         log(f"discovery: the list is overdue, {why}: {self.figures()}")
         self._count("lists overdue")
-        if self.expiry_timer is not None:
-            self.expiry_timer.cancel()
-            self.expiry_timer = None
-        self.overdue = True
-        self.notify(api.ListUsableUntil(float("-inf")))
+        self.expiry.expire()
 
     def _agent_down(self) -> bool:
         """Whether lists are pushed and the agent leaves a new poll without any response."""
@@ -196,7 +170,7 @@
         age = f"{age_s:.2f} s" if age_s < float("inf") else "unknown"
         poll = f" {self._poll_figures(self.poll)}" if self.poll is not None else ""
         return (f"generation={self.directory.generation} endpoints={len(self.directory.endpoint_ids)} "
-                f"age={age} overdue={'yes' if self.overdue else 'no'}{poll}")
+                f"age={age} overdue={'yes' if self.expiry.overdue else 'no'}{poll}")
 
     def _poll_figures(self, poll: Poll) -> str:
         waits = f" of which {poll.wait_ms} ms may wait" if poll.long else ""
@@ -268,7 +242,7 @@
         if isinstance(fault, ConnectionRefusedError) and not self.may_have_missed_changes:
             # It is down, so that nothing counts from before now. Other faults may be the network's, or this
             # proxy's own, and do not show that.
-            self._confirm_without_list()
+            self.expiry.confirm()
         self._poll_failed(reached=False)
 
     # The ends of polls.
@@ -312,7 +286,8 @@
     def _answer_incomplete(self, poll: Poll) -> None:
         """Have nothing sent until the rest of a slow answer has come, or another one in its place."""
         began_ms = poll.answer_began_ms
-        if not self.overdue and began_ms is not None and self.freshness.current_at_ms <= began_ms:
+        newer = began_ms is not None and self.freshness.current_at_ms > began_ms
+        if not self.expiry.overdue and not newer:
             self._expire(f"an answer has come in part, on {self._poll_figures(poll)}")
 
     def _apply(self, response: http1.Response, poll: Poll) -> api.EndpointsListed:
@@ -331,7 +306,7 @@
         """Discovery ended the watch, which stood until now: what changed before was told first."""
         self._count("watches ended")
         log(f"discovery: {self._poll_figures(poll)}: the watch ended")
-        self._confirm_without_list()
+        self.expiry.confirm()
         self._poll_failed(reached=False)
 
     def _poll_for_full_list(self) -> None:
@@ -354,8 +329,8 @@
         self.failures = 0
         if not keep_alive:
             self._close_connection()
-        self.overdue = self.may_have_missed_changes = False
-        self._set_expiry_timer()
+        self.may_have_missed_changes = False
+        self.expiry.list_arrived()
         self.notify(event)
         if self.poll is not None:
             return  # the module asked for it on this list: the timer is its timeout
@@ -369,7 +344,7 @@
     def _log_answer(self, poll: Poll, event: api.EndpointsListed, *, first: bool) -> None:
         """A line on the first answer, on one that ends an overdue list, on a large and on a late one."""
         late = not poll.long and self.clock.now() - poll.sent_ms >= LOGGED_WAIT_MS
-        if not (first or self.overdue or late or len(event.endpoints) >= LOGGED_ENTRIES):
+        if not (first or self.expiry.overdue or late or len(event.endpoints) >= LOGGED_ENTRIES):
             return
         log(f"discovery: {'first answer' if first else 'answer'}, {len(self.directory.endpoint_ids)} "
             f"endpoints: {self._poll_figures(poll)}, {event.figures()}")
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -253,6 +253,17 @@
         self.outcome.set()
 
 
+def lists(w: World) -> list[api.EndpointsListed]:
+    """All but word of no change, which only ends what was overdue."""
+    return [e for e in w.events if isinstance(e, api.EndpointsListed)
+            and (e.endpoints or e.kind is not api.ListKind.CHANGES)]
+
+
+async def told(w: World, number: int) -> api.EndpointsListed:
+    await until(lambda: len(lists(w)) >= number)
+    return lists(w)[number - 1]
+
+
 @asynccontextmanager
 async def world(rows: list[dict[str, Any]], **changes: Any) -> AsyncIterator[World]:
     """A running proxy that knows these backends and whose first watch has been answered with nothing new."""
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -30,6 +30,7 @@
 def on_clock(w: World, clock: Clock) -> None:
     proxy = w.proxy
     proxy.clock = proxy.driver.clock = proxy.pool.clock = proxy.frontend.clock = proxy.watch.clock = clock
+    proxy.watch.expiry.clock = clock
 
 
 @pytest.mark.parametrize("restarted", [0, PROXIES * 7 // 10])
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -14,29 +14,19 @@
     Backend,
     Client,
     Discovery,
-    Gate,
     World,
+    lists,
     make_config,
     reply,
     row,
     run,
     soon,
+    told,
     until,
     world,
 )
 
 
-def lists(w: World) -> list[api.EndpointsListed]:
-    """All but word of no change, which only ends what was overdue."""
-    return [e for e in w.events if isinstance(e, api.EndpointsListed)
-            and (e.endpoints or e.kind is not api.ListKind.CHANGES)]
-
-
-async def told(w: World, number: int) -> api.EndpointsListed:
-    await until(lambda: len(lists(w)) >= number)
-    return lists(w)[number - 1]
-
-
 def test_an_entry_in_the_modules_terms() -> None:
     entry, where = parse_entry(row("s", 3000, "y", "draining", startedAtMs=17, weight=1.5, cell=3))
     assert entry == api.Endpoint("s", "y", api.EndpointState.DRAINING, 3, 17.0, 1.5, "k")
@@ -200,52 +190,6 @@
     run(main())
 
 
-@pytest.mark.parametrize("mode", ["ask", "push"])
-@pytest.mark.parametrize("silent", [False, True])
-def test_nothing_is_sent_on_the_list_of_the_last_life(mode: str, silent: bool) -> None:
-    """A backend drained while the proxy was away, and nobody knows for how long that was.
-
-    Where lists are pushed the drain counts as told from the proxy's first moment, where they are asked for
-    6 s after it was made. Callers that did not ask whether it is ready come all the same. A silent discovery
-    keeps it out for seconds; then it is ready but sends nothing, and it goes on asking.
-    """
-    async def main() -> None:
-        discovery = await Discovery().start()
-        leaves, stays = await Backend().start(), await Backend().start()
-        rows = [leaves.row("leaves"), stays.row("stays")]
-        w = World(make_config(discovery.port, rows, discovery=mode), discovery)
-        await w.start()
-        w.proxy.watch.watch()
-        await soon(discovery.called.wait())
-        client = await Client.to(w.port)
-        assert await client.ask(b"GET /health/ready HTTP/1.1\r\n\r\n") == 503
-        for _ in range(12):
-            client.send()
-            assert await client.status() == 503
-        if silent:
-            w.proxy.watch._poll_timed_out()
-            await until(lambda: len(discovery.calls) == 2)
-            assert await client.ask(b"GET /health/ready HTTP/1.1\r\n\r\n") == 200
-            for _ in range(12):
-                client.send()
-                assert await client.status() == 503
-            discovery.answers.put_nowait(reply())  # goes to the call that fell silent, and nobody reads it
-        discovery.tell(2, leaves.row("leaves", lifecycle="draining"))
-        await told(w, 2)
-        assert await client.ask(b"GET /health/ready HTTP/1.1\r\n\r\n") == 200
-        assert leaves.requests == stays.requests == []
-        for _ in range(12):
-            client.send()
-            assert await client.status() == 200
-        assert leaves.requests == []
-        assert w.running is not None
-        w.running.cancel()
-        for backend in (leaves, stays):
-            await backend.stop()
-        await discovery.stop()
-    run(main())
-
-
 def test_a_call_that_stands_in_line_is_not_given_up_soon() -> None:
     """Discovery takes calls in turn: whoever calls anew after a second goes back to the end of the line."""
     async def main() -> None:
@@ -298,151 +242,6 @@
     run(main())
 
 
-def due_s(w: World) -> float:
-    """In how many seconds what the list held may lack counts as told."""
-    due = w.proxy.watch.expiry_timer
-    assert due is not None
-    return round(due.when() - asyncio.get_running_loop().time(), 3)  # the loop's times are whole ms
-
-
-def expires_in(w: World, left_ms: float) -> None:
-    """Let the list held be usable for so much longer."""
-    w.proxy.watch.freshness.expires_ms = w.proxy.clock.now() + left_ms
-    w.proxy.watch._set_expiry_timer()
-
-
-@pytest.mark.parametrize("mode", ["ask", "push"])
-@pytest.mark.parametrize("ends", ["refused", "lost", "given up", "spoilt"])
-def test_a_change_that_no_call_brought_counts_as_told_6_s_later(mode: str, ends: str) -> None:
-    """From then on nothing is sent until a list comes: draining backends may answer calls, too."""
-    async def main() -> None:
-        leaves, stays = await Backend().start(), await Backend().start()
-        discovery = await Discovery().start()
-        rows = [leaves.row("leaves"), stays.row("stays")]
-        w = World(make_config(
-            discovery.port, rows, discovery=mode, contract={"askEveryMs": 1e6, "stopSendingWithinMs": 2e6},
-            report={"fields": [], "how": "silent"}), discovery)
-        await w.start()
-        discovery.tell(1)
-        w.proxy.watch.watch()
-        await until(lambda: len(discovery.calls) == 2)
-        listed = due_s(w)
-        assert listed <= 6.0
-        w.proxy.watch._poll_timed_out()  # from here on something may be missing
-        await until(lambda: len(discovery.calls) == 3)
-        discovery.answers.put_nowait(reply())  # goes to the call that fell silent
-        for _ in range(3):  # and no call brings a list
-            calls = len(discovery.calls)
-            if ends == "given up":
-                w.proxy.watch._poll_timed_out()
-                discovery.answers.put_nowait(reply())
-            elif ends == "lost":
-                for writer in list(discovery.connections):
-                    writer.transport.abort()
-                discovery.answers.put_nowait(reply())
-            else:
-                discovery.answers.put_nowait(reply(503 if ends == "refused" else 200))
-            if mode == "ask" and ends != "given up":
-                await until(lambda: lists(w)[-1].kind is api.ListKind.FAILED)
-                w.proxy.watch.watch()
-            elif mode == "push" and w.proxy.watch.poll_timer is not None and ends != "given up":
-                await until(lambda: w.proxy.watch.poll is None)
-                w.proxy.watch._poll()
-            await until(lambda: len(discovery.calls) > calls)  # noqa: B023
-            assert due_s(w) <= listed
-        client = await Client.to(w.port)
-        client.send()
-        assert await client.status() == 200
-        sent = len(leaves.requests) + len(stays.requests)
-        w.proxy.watch._expiry_reached()
-        for _ in range(12):
-            client.send()
-            assert await client.status() == 503
-        assert len(leaves.requests) + len(stays.requests) == sent
-        discovery.tell(1)
-        if mode == "push":
-            w.proxy.watch._poll()
-        await until(lambda: not w.proxy.watch.overdue)
-        client.send()
-        assert await client.status() == 200
-        assert w.running is not None
-        w.running.cancel()
-        for backend in (leaves, stays):
-            await backend.stop()
-        await discovery.stop()
-    run(main())
-
-
-def test_while_the_agent_of_pushed_lists_is_down_nothing_gets_overdue() -> None:
-    """It takes calls and is silent, and learns nothing; where discovery is asked it cannot be told apart."""
-    async def main() -> None:
-        backend = await Backend().start()
-        async with world([backend.row("b")]) as w:
-            watch = w.proxy.watch
-            await until(lambda: len(w.discovery.calls) == 2)
-            watch._poll_timed_out()
-            await until(lambda: len(w.discovery.calls) == 3)
-            expires_in(w, 1000.0)
-            assert watch.poll is not None
-            watch.poll.sent_ms -= 1000.0
-            watch._expiry_reached()
-            assert not watch.overdue
-            assert due_s(w) > 5.0
-            client = await Client.to(w.port)
-            client.send()
-            assert await client.status() == 200
-            watch.poll.sent_ms += 1000.0  # a call just made shows nothing
-            watch._expiry_reached()
-            assert watch.overdue
-        await backend.stop()
-    run(main())
-
-
-def test_what_waits_for_its_connection_when_the_list_gets_overdue_is_withdrawn() -> None:
-    async def main() -> None:
-        backend = await Backend().start()
-        async with world([backend.row("b")], bounds={"connectTimeoutMs": 60000.0}) as w:
-            gate = Gate(w.proxy.pool.loop)
-            w.proxy.pool.loop = gate  # type: ignore[assignment]
-            client = await Client.to(w.port)
-            client.send("pay")
-            await until(lambda: w.proxy.pool.handshakes == 1)
-            w.proxy.watch._expiry_reached()
-            assert await client.status() == 503
-            gate.let.set()
-            await until(lambda: not w.proxy.pool.tasks)
-            assert backend.requests == []
-        await backend.stop()
-    run(main())
-
-
-def test_what_cannot_be_reached_tells_nothing_and_what_moves_has_4_s() -> None:
-    async def main() -> None:
-        discovery, other = await Discovery().start(), await Discovery().start()
-        port = discovery.port
-        w = World(make_config(port, [row("b", 1)], discovery="ask", contract={"askEveryMs": 1e6}), discovery)
-        await w.start()
-        discovery.tell(1)
-        w.proxy.watch.watch()
-        await until(lambda: len(discovery.calls) == 2)
-        assert b"&wait_ms=4000 " in discovery.calls[1]
-        expires_in(w, 3000.0)
-        discovery.answers.put_nowait(reply(503))  # the watch stood until it was ended by a word
-        await until(lambda: lists(w)[-1].kind is api.ListKind.FAILED)
-        assert due_s(w) > 4.0
-        await discovery.stop()
-        expires_in(w, 3000.0)
-        w.proxy.watch.watch()
-        await until(lambda: w.proxy.watch.connect_task is None)
-        assert due_s(w) > 4.0  # down: it could not have been told
-        w.proxy.watch.change_address(("127.0.0.1", other.port))
-        assert due_s(w) <= 4.0
-        assert w.running is not None
-        w.running.cancel()
-        await other.stop()
-    run(main())
-
-
 def test_where_the_module_asks_for_watches_it_is_told_of_failures() -> None:
     async def main() -> None:
         discovery = await Discovery().start()
@@ -485,51 +284,6 @@
     run(main())
 
 
-@pytest.mark.parametrize("mode", ["ask", "push"])
-@pytest.mark.parametrize("waits", [True, False], ids=["a watch", "a call in line"])
-def test_a_call_that_fell_silent_is_made_anew_before_what_it_missed_counts_as_told(
-    mode: str, waits: bool,
-) -> None:
-    """It misses a drain, which counts as told 2 s after the wait, or 6 s after it fell silent.
-
-    No pause of the module's fits in there, and half of the time is left for discovery's line.
-    """
-    async def main() -> None:
-        leaves, stays = await Backend().start(), await Backend().start()
-        discovery = await Discovery().start()
-        rows = [leaves.row("leaves"), stays.row("stays")]
-        pauses = {"askEveryMs": 1e6}  # the module's pause after a failed call is up to a fifth of that
-        w = World(make_config(discovery.port, rows, discovery=mode, contract=pauses), discovery)
-        await w.start()
-        w.proxy.watch.watch()
-        if waits:
-            discovery.tell(1)
-        out = 2 if waits else 1
-        await until(lambda: len(discovery.calls) == out)
-        timer, now = w.proxy.watch.poll_timer, asyncio.get_running_loop().time()
-        assert timer is not None
-        assert timer.when() - now < (6.0 if waits else 4.0)
-        w.proxy.watch._poll_timed_out()
-        await until(lambda: len(discovery.calls) == out + 1)
-        assert discovery.calls[out].startswith(b"GET /registry/instances?after=1&wait_ms=0 ")
-        assert api.ListKind.FAILED not in [e.kind for e in lists(w)]
-        discovery.answers.put_nowait(reply())  # goes to the call that fell silent, and nobody reads it
-        discovery.tell(2, leaves.row("leaves", lifecycle="draining"))
-        await until(lambda: len(discovery.calls) == out + 2)
-        assert b"?after=2&wait_ms=4000 " in discovery.calls[out + 1]
-        client = await Client.to(w.port)
-        for _ in range(12):
-            client.send()
-            assert await client.status() == 200
-        assert (len(leaves.requests), len(stays.requests)) == (0, 12)
-        assert w.running is not None
-        w.running.cancel()
-        for backend in (leaves, stays):
-            await backend.stop()
-        await discovery.stop()
-    run(main())
-
-
 @pytest.mark.parametrize("mode", ["ask", "push"])
 def test_a_call_after_a_failure_does_not_wait(mode: str) -> None:
     """It stands in line before a wait would begin: judged by its wait, it would be given up in line."""
@@ -553,35 +307,6 @@
     run(main())
 
 
-def test_a_call_that_comes_too_late_to_go_on_with_a_watch_does_not_wait() -> None:
-    """It starts a new watch, in line: refused there, it does not show that the watch stood until then."""
-    async def main() -> None:
-        discovery = await Discovery().start()
-        w = World(make_config(discovery.port, [row("b", 1)], discovery="ask", contract={"askEveryMs": 1e6}),
-                  discovery)
-        await w.start()
-        watch = w.proxy.watch
-
-        def held_up(now_ms: float, event: api.Event) -> list[api.Action]:
-            if isinstance(event, api.EndpointsListed):
-                watch.last_answer_ms -= 200.0  # as if the loop had been busy for so long
-            return []
-
-        w.proxy.driver.balancer.handle = held_up  # type: ignore[method-assign]
-        discovery.tell(1)
-        watch.watch()
-        await until(lambda: len(discovery.calls) == 2)
-        assert b"&wait_ms=0 " in discovery.calls[1]
-        expires_in(w, 3000.0)
-        discovery.answers.put_nowait(reply(503))
-        await until(lambda: watch.poll is None)
-        assert due_s(w) <= 3.0
-        assert w.running is not None
-        w.running.cancel()
-        await discovery.stop()
-    run(main())
-
-
 def test_a_pushed_list_is_asked_for_again_within_the_grace_for_drains() -> None:
     """An agent that cannot be reached for long returns with a drain: that counts as told in that moment."""
     async def main() -> None:
@@ -610,134 +335,3 @@
             await backend.stop()
         await discovery.stop()
     run(main())
-
-
-async def moved(w: World, discovery: Discovery, held: int = 1) -> None:
-    """Wait until the watch stands at that discovery: the changes since the list held first, then a watch."""
-    await until(lambda: len(discovery.calls) >= 2)
-    assert discovery.calls[0] == b"GET /registry/instances?after=%d&wait_ms=0 HTTP/1.1" % held
-    assert b"?after=" in discovery.calls[1]
-    assert b"&wait_ms=4000 " in discovery.calls[1]
-
-
-def test_a_moved_watch_goes_on_from_the_list_held_and_keeps_its_state() -> None:
-    """Guards against full lists for all proxies at once, which take longer than the list held may be used."""
-    async def main() -> None:
-        backend, other = await Backend().start(), await Discovery().start()
-        backend.then = None
-        async with world([backend.row("b")]) as w:
-            await until(lambda: len(w.discovery.calls) == 2)
-            client = await Client.to(w.port)
-            client.send()
-            await soon(backend.came.wait())
-            record = w.proxy.driver.balancer.host_set.servers["b"]
-            w.proxy.watch.change_address(("127.0.0.1", other.port))
-            assert w.proxy.watch.first_poll_done  # it stays in service
-            await until(lambda: len(other.calls) == 1)
-            w.discovery.tell(50, row("late", 9))  # the old connection speaks up late
-            other.tell(3, row("c", 2), reset=False)
-            await moved(w, other)
-            assert b"after=3&" in other.calls[1]
-            assert [e.kind for e in lists(w)] == [api.ListKind.CACHED, api.ListKind.CHANGES]
-            assert w.proxy.pool.has_endpoint("c")
-            assert w.proxy.driver.balancer.host_set.servers["b"] is record
-            assert not w.proxy.pool.has_endpoint("late")
-            for writer in list(backend.writers):
-                writer.write(reply())
-            assert await client.status() == 200
-            assert backend.connections == 1
-            for writer in list(w.discovery.connections):  # and its late loss touches nothing
-                writer.transport.abort()
-            other.tell(4, row("d", 3))
-            await until(lambda: w.proxy.pool.has_endpoint("d"))
-            assert len(other.connections) == 1
-        await other.stop()
-        await backend.stop()
-    run(main())
-
-
-@pytest.mark.parametrize("moves", [True, False])
-@pytest.mark.parametrize("mode", ["ask", "push"])
-def test_changes_to_an_older_generation_are_left_and_the_full_list_is_taken(mode: str, moves: bool) -> None:
-    """Guards against entries that the service has lost, as it started anew or another one answers."""
-    async def main() -> None:
-        other = await Discovery().start()
-        async with world([row("b", 1)], discovery=mode, contract={"askEveryMs": 1000.0}) as w:
-            await until(lambda: len(w.discovery.calls) == 2)
-            if moves:
-                w.proxy.watch.change_address(("127.0.0.1", other.port))
-            asked = other if moves else w.discovery
-            calls = 0 if moves else 1
-            await until(lambda: len(asked.calls) == calls + 1)
-            asked.tell(0, row("lost", 9))
-            await until(lambda: len(asked.calls) == calls + 2)
-            assert asked.calls[-1] == b"GET /registry/instances HTTP/1.1"
-            assert w.proxy.pool.has_endpoint("b")
-            assert not w.proxy.pool.has_endpoint("lost")
-            asked.tell(0, row("c", 2))
-            await until(lambda: w.proxy.pool.has_endpoint("c"))
-            assert not w.proxy.pool.has_endpoint("b")
-            await until(lambda: len(asked.calls) == calls + 3)
-            assert b"?after=0&" in asked.calls[-1]
-        await other.stop()
-    run(main())
-
-
-def test_a_watch_moved_again_and_again_ends_at_the_last_address() -> None:
-    async def main() -> None:
-        first, last = await Discovery().start(), await Discovery().start()
-        async with world([row("b", 1)]) as w:
-            for _ in range(5):  # each while the connection before is still coming up
-                w.proxy.watch.change_address(("127.0.0.1", first.port))
-                await asyncio.sleep(0)
-                w.proxy.watch.change_address(("127.0.0.1", last.port))
-                await asyncio.sleep(0)
-            await until(lambda: len(last.calls) >= 1)
-            last.tell(2, row("e", 5), row("b", 1, lifecycle="removed"))
-            await moved(w, last)
-            assert len(last.connections) == 1
-            assert w.proxy.pool.has_endpoint("e")
-            assert not w.proxy.pool.has_endpoint("b")
-            await until(lambda: not first.connections)
-        await first.stop()
-        await last.stop()
-    run(main())
-
-
-def test_an_address_that_is_not_up_yet_is_tried_until_it_answers() -> None:
-    async def main() -> None:
-        other = await Discovery().start()
-        port = other.port
-        await other.stop()
-        async with world([row("b", 1)]) as w:
-            w.proxy.watch.change_address(("127.0.0.1", port))
-            await until(lambda: w.proxy.watch.failures >= 2)
-            assert w.proxy.watch.first_poll_done
-            assert w.proxy.pool.has_endpoint("b")
-            await other.start(port)
-            other.answers.put_nowait(reply(503))
-            other.tell(2, row("f", 6))
-            await until(lambda: w.proxy.pool.has_endpoint("f"))
-            assert other.calls[:2] == [b"GET /registry/instances?after=1&wait_ms=0 HTTP/1.1"] * 2
-        await other.stop()
-    run(main())
-
-
-def test_a_watch_moves_while_the_proxy_drains() -> None:
-    async def main() -> None:
-        backend, other = await Backend().start(), await Discovery().start()
-        backend.then = None
-        async with world([backend.row("b")]) as w:
-            client = await Client.to(w.port)
-            client.send()
-            await soon(backend.came.wait())
-            w.proxy.drain()
-            w.proxy.watch.change_address(("127.0.0.1", other.port))
-            other.tell(1, backend.row("b"))
-            await moved(w, other)
-            for writer in list(backend.writers):
-                writer.write(reply())
-            assert await client.status() == 200
-        await other.stop()
-        await backend.stop()
-    run(main())
--- a/tests/test_list_freshness.py
+++ b/tests/test_list_freshness.py
@@ -113,7 +113,7 @@
             gone = {"generation": 2, "reset": False, "instances": [leaves.row("leaves", lifecycle="removed")]}
             whole = reply(200, json.dumps(gone).encode())
             w.discovery.answers.put_nowait(whole[:-20])
-            await until(lambda: w.proxy.watch.overdue)
+            await until(lambda: w.proxy.watch.expiry.overdue)
             client = await Client.to(w.port)
             for _ in range(12):
                 client.send()
@@ -125,9 +125,9 @@
             else:
                 writer.transport.abort()
                 await until(lambda: len(w.discovery.calls) == 3)
-                assert w.proxy.watch.overdue
+                assert w.proxy.watch.expiry.overdue
                 w.discovery.answers.put_nowait(whole)
-            await until(lambda: not w.proxy.watch.overdue)
+            await until(lambda: not w.proxy.watch.expiry.overdue)
             for _ in range(12):
                 client.send()
                 assert await client.status() == 200
@@ -151,7 +151,7 @@
             assert watch.poll is not None
             watch.poll.sent_ms -= 1000.0
             watch._expiry_reached()
-            assert watch.overdue
+            assert watch.expiry.overdue
     run(main())
 
 
