Give up a poll that may have fallen silent while the list may still be used

Cause: a poll that is not sure to continue its watch had the patience of one in discovery's queue, whatever was left of the list's time. It now has what is left less 1 s, and 4.5 s at most; one that is sure keeps its wait and 0.5 s.

--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -21,8 +21,6 @@
 
 PATH = "/registry/instances"
 CONNECT_TIMEOUT_MS = 1000.0
-# A long poll without a response so long after its wait has timed out: discovery answers within milliseconds.
-LONG_POLL_MARGIN_MS = 500.0
 AGENT_RESPONSE_MS = 250.0  # an agent that pushes lists answers a new poll within milliseconds, if it is up
 # Polls that do not wait queue at discovery behind those of all proxies, which takes seconds after a reload.
 # Guards against giving up a place in that queue for the last one, over and over: the list then stays as it
@@ -211,11 +209,9 @@
         return f"{PATH}?after={self.directory.generation}&wait_ms={poll.wait_ms}"
 
     def _poll_timeout_ms(self, poll: Poll) -> float:
-        """How long a poll may take: one that may queue at discovery as long as all that do."""
-        if poll.full:
-            return FULL_LIST_TIMEOUT_MS
-        waited_ms = poll.wait_ms + LONG_POLL_MARGIN_MS
-        return waited_ms if poll.watch_stands else max(POLL_TIMEOUT_MS, waited_ms)
+        if poll.long:
+            return self.freshness.long_poll_timeout_ms(poll.sent_ms, poll.wait_ms)
+        return FULL_LIST_TIMEOUT_MS if poll.full else POLL_TIMEOUT_MS
 
     async def _connect(self) -> None:
         connection, task = WatchConnection(self), asyncio.current_task()
--- a/honeywharf/policy/list_freshness.py
+++ b/honeywharf/policy/list_freshness.py
@@ -23,6 +23,11 @@
 # a new poll.
 LEFT_AFTER_WAIT = 0.25
 SHORTEST_WAIT_MS = 100  # of a poll that continues a watch: a shorter one might as well not wait
+# A poll without an answer so long after its wait has fallen silent: discovery answers within milliseconds.
+ANSWER_MARGIN_MS = 500.0
+# But one that may have begun a new watch may stand in discovery's queue. It is given up so long before the
+# list may not be used any more, for a new poll to be answered in time.
+NEW_POLL_MS = 1000.0
 # Between two polls of one watch: discovery ends it 0.2 s after it wrote its answer, less the way there.
 CONTINUATION_GAP_MS = 150.0
 
@@ -69,6 +74,14 @@
         """
         return now <= self.current_at_ms + CONTINUATION_GAP_MS
 
+    def long_poll_timeout_ms(self, sent_ms: float, wait_ms: float) -> float:
+        """How long a poll that was sent to continue a watch may take."""
+        after_wait_ms = wait_ms + ANSWER_MARGIN_MS
+        if self.watch_stands(sent_ms):
+            return after_wait_ms
+        spare_ms = self.expires_ms - sent_ms - NEW_POLL_MS
+        return max(after_wait_ms, min(LONGEST_WAIT_MS + ANSWER_MARGIN_MS, spare_ms))
+
     def wait_ms(self, now: float) -> int:
         """How long a poll that continues a watch may wait for changes."""
         longest = self.expires_ms - now - LEFT_AFTER_WAIT * self.max_age_ms
--- a/tests/test_list_freshness.py
+++ b/tests/test_list_freshness.py
@@ -44,6 +44,18 @@
         assert wait_ms == SHORTEST_WAIT_MS or age_ms + wait_ms <= 0.75 * max_age_ms
 
 
+def test_a_poll_that_falls_silent_is_given_up_while_the_list_may_still_be_used() -> None:
+    """Whether or not it may have begun a new watch; there it has as long as can be, for discovery's queue."""
+    for age_ms in range(0, 4500, 50):
+        freshness = ListFreshness()
+        freshness.confirm(0.0)
+        wait_ms = freshness.wait_ms(age_ms)
+        timeout_ms = freshness.long_poll_timeout_ms(age_ms, wait_ms)
+        assert timeout_ms >= wait_ms + 500.0
+        assert age_ms + timeout_ms <= MAX_AGE_MS - 900.0
+        assert timeout_ms >= min(4500.0, MAX_AGE_MS - 1000.0 - age_ms) or age_ms <= 150.0
+
+
 def test_a_list_is_used_up_to_its_time_however_late_a_timer_comes() -> None:
     """Guards against what a process does first when it runs again after it was held up."""
     driver = Driver()
