--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -265,13 +265,11 @@
 
 
 @asynccontextmanager
-async def world(rows: list[dict[str, Any]], **changes: Any) -> AsyncIterator[World]:
-    """A running proxy that knows these backends and whose first watch has been answered with nothing new."""
+async def started_world(rows: list[dict[str, Any]], **changes: Any) -> AsyncIterator[World]:
+    """A running proxy that knows these backends; discovery answers it with what the test tells it to."""
     discovery = await Discovery().start()
-    discovery.tell(1)
     made = World(make_config(discovery.port, rows, **changes), discovery)
     await made.start()
-    await until(lambda: made.proxy.watch.first_poll_done)
     try:
         yield made
     finally:
@@ -285,6 +283,15 @@
             await made.running
 
 
+@asynccontextmanager
+async def world(rows: list[dict[str, Any]], **changes: Any) -> AsyncIterator[World]:
+    """The same, once its first poll has been answered with nothing new."""
+    async with started_world(rows, **changes) as made:
+        made.discovery.tell(1)
+        await until(lambda: made.proxy.watch.first_poll_done)
+        yield made
+
+
 class Client:
     """A caller on one connection."""
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -21,6 +21,7 @@
     row,
     run,
     soon,
+    started_world,
     told,
     until,
     world,
@@ -173,20 +174,15 @@
 
 def test_ready_only_once_a_list_is_held() -> None:
     async def main() -> None:
-        discovery = await Discovery().start()
-        w = World(make_config(discovery.port, []), discovery)
-        await w.start()
-        await soon(discovery.called.wait())
-        ready = b"GET /health/ready HTTP/1.1\r\n\r\n"
-        client = await Client.to(w.port)
-        assert await client.ask(ready) == 503
-        assert [e.kind for e in lists(w)] == [api.ListKind.CACHED]
-        discovery.tell(1, row("b", 1))
-        await until(lambda: w.proxy.watch.first_poll_done)
-        assert await client.ask(ready) == 200
-        assert w.running is not None
-        w.running.cancel()
-        await discovery.stop()
+        async with started_world([]) as w:
+            await soon(w.discovery.called.wait())
+            ready = b"GET /health/ready HTTP/1.1\r\n\r\n"
+            client = await Client.to(w.port)
+            assert await client.ask(ready) == 503
+            assert [e.kind for e in lists(w)] == [api.ListKind.CACHED]
+            w.discovery.tell(1, row("b", 1))
+            await until(lambda: w.proxy.watch.first_poll_done)
+            assert await client.ask(ready) == 200
     run(main())
 
 
@@ -244,43 +240,48 @@
 
 def test_where_the_module_asks_for_watches_it_is_told_of_failures() -> None:
     async def main() -> None:
-        discovery = await Discovery().start()
-        w = World(make_config(discovery.port, [row("b", 1)], discovery="ask"), discovery)
-        await w.start()
-        assert discovery.calls == []
-        w.proxy.driver._execute(api.WatchEndpoints())
-        await soon(discovery.called.wait())
-        discovery.answers.put_nowait(reply(503))
-        await until(lambda: lists(w)[-1].kind is api.ListKind.FAILED)
-        calls = len(discovery.calls)
-        w.proxy.driver._execute(api.FetchEndpoints())
-        await until(lambda: len(discovery.calls) > calls)
-        assert discovery.calls[-1].startswith(b"GET /registry/instances ")
-        discovery.tell(9, row("c", 2))
-        await until(lambda: lists(w)[-1].kind is api.ListKind.FULL)
-        assert not w.proxy.pool.has_endpoint("b")
-        assert w.running is not None
-        w.running.cancel()
+        async with started_world([row("b", 1)], discovery="ask") as w:
+            assert w.discovery.calls == []
+            w.proxy.driver._execute(api.WatchEndpoints())
+            await soon(w.discovery.called.wait())
+            w.discovery.answers.put_nowait(reply(503))
+            await until(lambda: lists(w)[-1].kind is api.ListKind.FAILED)
+            calls = len(w.discovery.calls)
+            w.proxy.driver._execute(api.FetchEndpoints())
+            await until(lambda: len(w.discovery.calls) > calls)
+            assert w.discovery.calls[-1].startswith(b"GET /registry/instances ")
+            w.discovery.tell(9, row("c", 2))
+            await until(lambda: lists(w)[-1].kind is api.ListKind.FULL)
+            assert not w.proxy.pool.has_endpoint("b")
         await asyncio.sleep(0)
-        await discovery.stop()
+    run(main())
+
+
+def test_the_answer_to_a_poll_in_flight_is_not_taken_for_the_full_list_asked_for_meanwhile() -> None:
+    async def main() -> None:
+        async with world([row("b", 1)]) as w:
+            await until(lambda: len(w.discovery.calls) == 2)
+            w.proxy.driver._execute(api.FetchEndpoints())
+            w.discovery.tell(2, row("c", 2))
+            await until(lambda: len(w.discovery.calls) == 3)
+            assert w.discovery.calls[2].startswith(b"GET /registry/instances ")
+            assert w.proxy.pool.has_endpoint("b")
+            assert w.proxy.pool.has_endpoint("c")
+            w.discovery.tell(2, row("c", 2), reset=True)
+            await until(lambda: not w.proxy.pool.has_endpoint("b"))
     run(main())
 
 
 def test_a_refused_call_is_over_and_never_taken_for_a_silent_one() -> None:
     """Else the module's pause is left out from then on, and all proxies call each second."""
     async def main() -> None:
-        discovery = await Discovery().start()
-        w = World(make_config(discovery.port, [row("b", 1)], discovery="ask"), discovery)
-        await w.start()
-        for number in (1, 2):
-            discovery.answers.put_nowait(reply(503))
-            w.proxy.watch.watch()
-            await until(lambda: sum(e.kind is api.ListKind.FAILED for e in lists(w)) == number)  # noqa: B023
-            assert w.proxy.watch.poll_timer is None  # nothing is due before the module's next word
-        assert not w.proxy.watch.first_poll_done
-        assert w.running is not None
-        w.running.cancel()
-        await discovery.stop()
+        async with started_world([row("b", 1)], discovery="ask") as w:
+            for number in (1, 2):
+                w.discovery.answers.put_nowait(reply(503))
+                w.proxy.watch.watch()
+                await until(lambda: sum(e.kind is api.ListKind.FAILED for e in lists(w)) == number)  # noqa: B023
+                assert w.proxy.watch.poll_timer is None  # nothing is due before the module's next word
+            assert not w.proxy.watch.first_poll_done
     run(main())
 
 
@@ -288,22 +289,17 @@
 def test_a_call_after_a_failure_does_not_wait(mode: str) -> None:
     """It stands in line before a wait would begin: judged by its wait, it would be given up in line."""
     async def main() -> None:
-        discovery = await Discovery().start()
-        w = World(make_config(discovery.port, [row("b", 1)], discovery=mode), discovery)
-        await w.start()
-        w.proxy.watch.watch()
-        discovery.tell(1)
-        await until(lambda: len(discovery.calls) == 2)
-        assert b"&wait_ms=4000 " in discovery.calls[1]
-        discovery.answers.put_nowait(reply(503))
-        if mode == "ask":
-            await until(lambda: lists(w)[-1].kind is api.ListKind.FAILED)
-            w.proxy.watch.watch()  # the module's next word
-        await until(lambda: len(discovery.calls) == 3)
-        assert b"&wait_ms=0 " in discovery.calls[2]
-        assert w.running is not None
-        w.running.cancel()
-        await discovery.stop()
+        async with started_world([row("b", 1)], discovery=mode) as w:
+            w.proxy.watch.watch()
+            w.discovery.tell(1)
+            await until(lambda: len(w.discovery.calls) == 2)
+            assert b"&wait_ms=4000 " in w.discovery.calls[1]
+            w.discovery.answers.put_nowait(reply(503))
+            if mode == "ask":
+                await until(lambda: lists(w)[-1].kind is api.ListKind.FAILED)
+                w.proxy.watch.watch()  # the module's next word
+            await until(lambda: len(w.discovery.calls) == 3)
+            assert b"&wait_ms=0 " in w.discovery.calls[2]
     run(main())
 
 
--- a/tests/test_list_expiry.py
+++ b/tests/test_list_expiry.py
@@ -19,6 +19,7 @@
     row,
     run,
     soon,
+    started_world,
     told,
     until,
     world,
@@ -48,39 +49,34 @@
     keeps it out for seconds; then it is ready but sends nothing, and it goes on asking.
     """
     async def main() -> None:
-        discovery = await Discovery().start()
         leaves, stays = await Backend().start(), await Backend().start()
         rows = [leaves.row("leaves"), stays.row("stays")]
-        w = World(make_config(discovery.port, rows, discovery=mode), discovery)
-        await w.start()
-        w.proxy.watch.watch()
-        await soon(discovery.called.wait())
-        client = await Client.to(w.port)
-        assert await client.ask(b"GET /health/ready HTTP/1.1\r\n\r\n") == 503
-        for _ in range(12):
-            client.send()
-            assert await client.status() == 503
-        if silent:
-            w.proxy.watch._poll_timed_out()
-            await until(lambda: len(discovery.calls) == 2)
-            assert await client.ask(b"GET /health/ready HTTP/1.1\r\n\r\n") == 200
+        async with started_world(rows, discovery=mode) as w:
+            w.proxy.watch.watch()
+            await soon(w.discovery.called.wait())
+            client = await Client.to(w.port)
+            assert await client.ask(b"GET /health/ready HTTP/1.1\r\n\r\n") == 503
             for _ in range(12):
                 client.send()
                 assert await client.status() == 503
-            discovery.answers.put_nowait(reply())  # goes to the call that fell silent, and nobody reads it
-        discovery.tell(2, leaves.row("leaves", lifecycle="draining"))
-        await told(w, 2)
-        assert await client.ask(b"GET /health/ready HTTP/1.1\r\n\r\n") == 200
-        assert leaves.requests == stays.requests == []
-        for _ in range(12):
-            client.send()
-            assert await client.status() == 200
-        assert leaves.requests == []
-        assert w.running is not None
-        w.running.cancel()
+            if silent:
+                w.proxy.watch._poll_timed_out()
+                await until(lambda: len(w.discovery.calls) == 2)
+                assert await client.ask(b"GET /health/ready HTTP/1.1\r\n\r\n") == 200
+                for _ in range(12):
+                    client.send()
+                    assert await client.status() == 503
+                w.discovery.answers.put_nowait(reply())  # goes to the call that fell silent: nobody reads it
+            w.discovery.tell(2, leaves.row("leaves", lifecycle="draining"))
+            await told(w, 2)
+            assert await client.ask(b"GET /health/ready HTTP/1.1\r\n\r\n") == 200
+            assert leaves.requests == stays.requests == []
+            for _ in range(12):
+                client.send()
+                assert await client.status() == 200
+            assert leaves.requests == []
         for backend in (leaves, stays):
             await backend.stop()
-        await discovery.stop()
     run(main())
 
 
@@ -90,59 +86,54 @@
     """From then on nothing is sent until a list comes: draining backends may answer calls, too."""
     async def main() -> None:
         leaves, stays = await Backend().start(), await Backend().start()
-        discovery = await Discovery().start()
         rows = [leaves.row("leaves"), stays.row("stays")]
-        w = World(make_config(
-            discovery.port, rows, discovery=mode, contract={"askEveryMs": 1e6, "stopSendingWithinMs": 2e6},
-            report={"fields": [], "how": "silent"}), discovery)
-        await w.start()
-        discovery.tell(1)
-        w.proxy.watch.watch()
-        await until(lambda: len(discovery.calls) == 2)
-        listed = due_s(w)
-        assert listed <= 6.0
-        w.proxy.watch._poll_timed_out()  # from here on something may be missing
-        await until(lambda: len(discovery.calls) == 3)
-        discovery.answers.put_nowait(reply())  # goes to the call that fell silent
-        for _ in range(3):  # and no call brings a list
-            calls = len(discovery.calls)
-            if ends == "given up":
-                w.proxy.watch._poll_timed_out()
-                discovery.answers.put_nowait(reply())
-            elif ends == "lost":
-                for writer in list(discovery.connections):
-                    writer.transport.abort()
-                discovery.answers.put_nowait(reply())
-            else:
-                discovery.answers.put_nowait(reply(503 if ends == "refused" else 200))
-            if mode == "ask" and ends != "given up":
-                await until(lambda: lists(w)[-1].kind is api.ListKind.FAILED)
-                w.proxy.watch.watch()
-            elif mode == "push" and w.proxy.watch.poll_timer is not None and ends != "given up":
-                await until(lambda: w.proxy.watch.poll is None)
+        contract = {"askEveryMs": 1e6, "stopSendingWithinMs": 2e6}
+        report = {"fields": [], "how": "silent"}
+        async with started_world(rows, discovery=mode, contract=contract, report=report) as w:
+            w.discovery.tell(1)
+            w.proxy.watch.watch()
+            await until(lambda: len(w.discovery.calls) == 2)
+            listed = due_s(w)
+            assert listed <= 6.0
+            w.proxy.watch._poll_timed_out()  # from here on something may be missing
+            await until(lambda: len(w.discovery.calls) == 3)
+            w.discovery.answers.put_nowait(reply())  # goes to the call that fell silent
+            for _ in range(3):  # and no call brings a list
+                calls = len(w.discovery.calls)
+                if ends == "given up":
+                    w.proxy.watch._poll_timed_out()
+                    w.discovery.answers.put_nowait(reply())
+                elif ends == "lost":
+                    for writer in list(w.discovery.connections):
+                        writer.transport.abort()
+                    w.discovery.answers.put_nowait(reply())
+                else:
+                    w.discovery.answers.put_nowait(reply(503 if ends == "refused" else 200))
+                if mode == "ask" and ends != "given up":
+                    await until(lambda: lists(w)[-1].kind is api.ListKind.FAILED)
+                    w.proxy.watch.watch()
+                elif mode == "push" and w.proxy.watch.poll_timer is not None and ends != "given up":
+                    await until(lambda: w.proxy.watch.poll is None)
+                    w.proxy.watch._poll()
+                await until(lambda: len(w.discovery.calls) > calls)  # noqa: B023
+                assert due_s(w) <= listed
+            client = await Client.to(w.port)
+            client.send()
+            assert await client.status() == 200
+            sent = len(leaves.requests) + len(stays.requests)
+            w.proxy.watch._expiry_reached()
+            for _ in range(12):
+                client.send()
+                assert await client.status() == 503
+            assert len(leaves.requests) + len(stays.requests) == sent
+            w.discovery.tell(1)
+            if mode == "push":
                 w.proxy.watch._poll()
-            await until(lambda: len(discovery.calls) > calls)  # noqa: B023
-            assert due_s(w) <= listed
-        client = await Client.to(w.port)
-        client.send()
-        assert await client.status() == 200
-        sent = len(leaves.requests) + len(stays.requests)
-        w.proxy.watch._expiry_reached()
-        for _ in range(12):
+            await until(lambda: not w.proxy.watch.expiry.overdue)
             client.send()
-            assert await client.status() == 503
-        assert len(leaves.requests) + len(stays.requests) == sent
-        discovery.tell(1)
-        if mode == "push":
-            w.proxy.watch._poll()
-        await until(lambda: not w.proxy.watch.expiry.overdue)
-        client.send()
-        assert await client.status() == 200
-        assert w.running is not None
-        w.running.cancel()
+            assert await client.status() == 200
         for backend in (leaves, stays):
             await backend.stop()
-        await discovery.stop()
     run(main())
 
 
@@ -227,37 +218,32 @@
     """
     async def main() -> None:
         leaves, stays = await Backend().start(), await Backend().start()
-        discovery = await Discovery().start()
         rows = [leaves.row("leaves"), stays.row("stays")]
         pauses = {"askEveryMs": 1e6}  # the module's pause after a failed call is up to a fifth of that
-        w = World(make_config(discovery.port, rows, discovery=mode, contract=pauses), discovery)
-        await w.start()
-        w.proxy.watch.watch()
-        if waits:
-            discovery.tell(1)
-        out = 2 if waits else 1
-        await until(lambda: len(discovery.calls) == out)
-        timer, now = w.proxy.watch.poll_timer, asyncio.get_running_loop().time()
-        assert timer is not None
-        assert timer.when() - now < (6.0 if waits else 4.0)
-        w.proxy.watch._poll_timed_out()
-        await until(lambda: len(discovery.calls) == out + 1)
-        assert discovery.calls[out].startswith(b"GET /registry/instances?after=1&wait_ms=0 ")
-        assert api.ListKind.FAILED not in [e.kind for e in lists(w)]
-        discovery.answers.put_nowait(reply())  # goes to the call that fell silent, and nobody reads it
-        discovery.tell(2, leaves.row("leaves", lifecycle="draining"))
-        await until(lambda: len(discovery.calls) == out + 2)
-        assert b"?after=2&wait_ms=4000 " in discovery.calls[out + 1]
-        client = await Client.to(w.port)
-        for _ in range(12):
-            client.send()
-            assert await client.status() == 200
-        assert (len(leaves.requests), len(stays.requests)) == (0, 12)
-        assert w.running is not None
-        w.running.cancel()
+        async with started_world(rows, discovery=mode, contract=pauses) as w:
+            w.proxy.watch.watch()
+            if waits:
+                w.discovery.tell(1)
+            out = 2 if waits else 1
+            await until(lambda: len(w.discovery.calls) == out)
+            timer, now = w.proxy.watch.poll_timer, asyncio.get_running_loop().time()
+            assert timer is not None
+            assert timer.when() - now < (6.0 if waits else 4.0)
+            w.proxy.watch._poll_timed_out()
+            await until(lambda: len(w.discovery.calls) == out + 1)
+            assert w.discovery.calls[out].startswith(b"GET /registry/instances?after=1&wait_ms=0 ")
+            assert api.ListKind.FAILED not in [e.kind for e in lists(w)]
+            w.discovery.answers.put_nowait(reply())  # goes to the call that fell silent, and nobody reads it
+            w.discovery.tell(2, leaves.row("leaves", lifecycle="draining"))
+            await until(lambda: len(w.discovery.calls) == out + 2)
+            assert b"?after=2&wait_ms=4000 " in w.discovery.calls[out + 1]
+            client = await Client.to(w.port)
+            for _ in range(12):
+                client.send()
+                assert await client.status() == 200
+            assert (len(leaves.requests), len(stays.requests)) == (0, 12)
         for backend in (leaves, stays):
             await backend.stop()
-        await discovery.stop()
     run(main())
 
 
