Serve the tests' crowded discovery and late answers from the shared stand-ins

Found in reading the change once more: CrowdedDiscovery wrote Discovery's loop again, and answered_late built a proxy by hand where started_world serves. Discovery has a hook for its answer now.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -30,7 +30,6 @@
     return listed
 
 
-
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     """Let the listed tests run and fail; print them."""
     listed = known_red()
@@ -38,7 +37,7 @@
         if item.nodeid in listed:
             item.add_marker(pytest.mark.xfail(reason=listed[item.nodeid], strict=False))
     terminal = config.pluginmanager.get_plugin("terminalreporter")
-    if terminal is not None:  # the quiet run of CI has no header
+    if terminal is not None:
         for test, why in listed.items():
             terminal.write_line(f"known red: {test}: {why}")
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -162,10 +162,13 @@
                 first, _, _ = await read_message(reader)
                 self.calls.append(first)
                 self.called.set()
-                writer.write(await self.answers.get())
+                writer.write(await self._answer())
         self.connections.discard(writer)
         writer.close()
 
+    async def _answer(self) -> bytes:
+        return await self.answers.get()
+
     async def stop(self) -> None:
         if self.server is not None:
             self.server.close()
--- a/tests/test_list_freshness.py
+++ b/tests/test_list_freshness.py
@@ -5,14 +5,15 @@
 import asyncio
 import errno
 import json
-from typing import Any
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import pytest
 
 from honeywharf import interface as api
 from honeywharf.policy.list_freshness import LONGEST_WAIT_MS, MAX_AGE_MS, SHORTEST_WAIT_MS, ListFreshness
 from tests.helpers import TWO_ZONES, Driver, only_refusal, only_send
-from tests.loopback import Backend, Client, Discovery, World, make_config, reply, row, run, until, world
+from tests.loopback import Backend, Client, World, reply, row, run, started_world, until, world
 
 WAY_MS = 400.0  # of an answer from discovery to the proxy: longer than a watch lasts without a poll
 
@@ -74,44 +75,36 @@
     return (w.proxy.watch.freshness.expires_ms - w.proxy.clock.now()) / 1000.0
 
 
-async def answered_late(mode: str, discovery: Discovery, rows: list[dict[str, Any]]) -> World:
+@asynccontextmanager
+async def answered_late(mode: str) -> AsyncIterator[World]:
     """A proxy whose first answer, with a change, took `WAY_MS`, and whose next poll is out."""
-    w = World(make_config(discovery.port, rows, discovery=mode, contract={"askEveryMs": 1e6}), discovery)
-    await w.start()
-    w.proxy.watch.watch()
-    await until(lambda: len(discovery.calls) == 1)
-    assert w.proxy.watch.poll is not None
-    w.proxy.watch.poll.sent_ms -= WAY_MS
-    discovery.tell(2, row("c", 2))
-    await until(lambda: len(discovery.calls) == 2)
-    return w
+    async with started_world([row("b", 1)], discovery=mode, contract={"askEveryMs": 1e6}) as w:
+        w.proxy.watch.watch()
+        await until(lambda: len(w.discovery.calls) == 1)
+        assert w.proxy.watch.poll is not None
+        w.proxy.watch.poll.sent_ms -= WAY_MS
+        w.discovery.tell(2, row("c", 2))
+        await until(lambda: len(w.discovery.calls) == 2)
+        yield w
 
 
 @pytest.mark.parametrize("mode", ["ask", "push"])
 def test_what_came_late_is_not_fresh_from_when_it_came(mode: str) -> None:
     async def main() -> None:
-        discovery = await Discovery().start()
-        w = await answered_late(mode, discovery, [row("b", 1)])
-        assert left_s(w) <= (MAX_AGE_MS - WAY_MS) / 1000.0
-        assert w.running is not None
-        w.running.cancel()
-        await discovery.stop()
+        async with answered_late(mode) as w:
+            assert left_s(w) <= (MAX_AGE_MS - WAY_MS) / 1000.0
     run(main())
 
 
 def test_a_poll_refused_in_the_queue_is_not_taken_for_a_watch_that_stood_until_then() -> None:
     """The answer was under way for longer than a watch lasts, so the next poll may have begun another one."""
     async def main() -> None:
-        discovery = await Discovery().start()
-        w = await answered_late("ask", discovery, [row("b", 1)])
-        assert b"&wait_ms=0 " not in discovery.calls[1]  # as far as the proxy knows the watch goes on
-        expires_ms = w.proxy.watch.freshness.expires_ms
-        discovery.answers.put_nowait(reply(503))
-        await until(lambda: w.proxy.watch.poll is None)
-        assert w.proxy.watch.freshness.expires_ms == expires_ms
-        assert w.running is not None
-        w.running.cancel()
-        await discovery.stop()
+        async with answered_late("ask") as w:
+            assert b"&wait_ms=0 " not in w.discovery.calls[1]  # as far as the proxy knows the watch goes on
+            expires_ms = w.proxy.watch.freshness.expires_ms
+            w.discovery.answers.put_nowait(reply(503))
+            await until(lambda: w.proxy.watch.poll is None)
+            assert w.proxy.watch.freshness.expires_ms == expires_ms
     run(main())
 
 
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from tests.loopback import SETTINGS, Backend, Client, Discovery, read_message, reply, run, until
+from tests.loopback import SETTINGS, Backend, Client, Discovery, reply, run, until
 from tests.process import Process
 
 SERVERS = 2351
@@ -42,19 +42,6 @@
         self.told = True
         return reply(200, self.body)
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections.add(writer)
-        try:
-            while True:
-                first, _, _ = await read_message(reader)
-                self.calls.append(first)
-                writer.write(await self._answer())
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            pass
-        finally:
-            self.connections.discard(writer)
-            writer.close()
-
 
 def ask_settings() -> dict[str, Any]:
     contract = {"stopSendingWithinMs": 250.0}
@@ -110,7 +97,7 @@
 
 
 def test_nothing_is_sent_to_servers_removed_while_the_process_was_stopped(tmp_path: Path) -> None:
-    """It is stopped for longer than its list may be used, and finds a request before its timers have run."""
+    """It is stopped for longer than its list may be used, and finds a request when it runs again."""
     async def main() -> None:
         leaves, discovery = await Backend().start(), await Discovery().start()
         rows = [leaves.row(f"s-{i:08x}") for i in range(SERVERS)]
