--- a/review/standins.py
+++ b/review/standins.py
@@ -129,7 +129,8 @@
         """Reset all open connections."""
         for writer in list(self.writers):
             connection = writer.get_extra_info("socket")
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            with contextlib.suppress(OSError):  # the peer has closed it already
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
             writer.transport.abort()
 
     def stop_listening(self) -> None:
