--- a/review/standins.py
+++ b/review/standins.py
@@ -11,6 +11,7 @@
 import contextlib
 import json
 import os
+import re
 import resource
 import signal
 import socket
@@ -103,13 +104,15 @@
 
     def __init__(self) -> None:
         self.port = 0
+        self.reservations: list[socket.socket] = []
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
 
-    async def start(self, port: int = 0) -> None:
-        """Listen on a free port, or on the given one."""
-        self.server = await asyncio.start_server(self._connected, HOST, port)
-        self.port = self.server.sockets[0].getsockname()[1]
+    async def start(self, reservation: socket.socket | None = None) -> None:
+        """Listen on a free port, or on one that is reserved. The port stays reserved after that."""
+        self.reservations.append(reservation or reserve_port())
+        self.port = self.reservations[-1].getsockname()[1]
+        self.server = await asyncio.start_server(self._connected, HOST, self.port, reuse_address=True)
 
     async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
@@ -294,13 +297,13 @@
         self.record, self.name, self.settings = record, name, settings
         self.folder = folder / name
         self.folder.mkdir()
-        self.port = free_port()
+        self.port = 0  # known once the process listens
         self.process: subprocess.Popen[bytes] | None = None
 
     def write_config(self, discovery_port: int, known: dict[str, Any]) -> None:
         """Write the configuration file."""
         text = json.dumps({
-            "name": self.name, "listen": f"{HOST}:{self.port}", "discovery": f"{HOST}:{discovery_port}",
+            "name": self.name, "listen": f"{HOST}:0", "discovery": f"{HOST}:{discovery_port}",
             "seed": os.urandom(8).hex(), "known": known, "settings": self.settings,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": MAX_SOCKETS},
         })
@@ -317,7 +320,7 @@
         environment = {
             "PATH": os.environ.get("PATH", "/usr/bin:/bin"), "TMPDIR": str(scratch),
             "NODE_CONFIG": str(self.folder / "config.json"), "NODE_NAME": self.name,
-            "NODE_LISTEN": f"{HOST}:{self.port}", "NODE_DISCOVERY": f"{HOST}:{discovery_port}",
+            "NODE_LISTEN": f"{HOST}:0", "NODE_DISCOVERY": f"{HOST}:{discovery_port}",
         }
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
@@ -355,6 +358,9 @@
     async def wait_ready(self) -> None:
         """Wait until the proxy says that it is ready."""
         async with asyncio.timeout(READY_TIMEOUT_S):
+            while not (listens := re.search(rf"listens on {HOST}:(\d+)", self.log_text())):
+                await asyncio.sleep(0.02)
+            self.port = int(listens[1])
             while await self.ready_status() != 200:
                 await asyncio.sleep(0.05)
         self.record.note(f"{self.name} is ready")
@@ -372,12 +378,17 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_SOCKETS, MAX_SOCKETS))
 
 
-def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+def reserve_port() -> socket.socket:
+    """Return a socket that is bound to a free port and does not listen.
+
+    Until a server of this process listens on the port, connections to it are refused; no other process is
+    given it as a free port. Otherwise proxies that call an address where nothing listens could reach a server
+    of another test.
+    """
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind((HOST, 0))
+    return reservation
 
 
 class Result:
