Forward the body of a request that offers to upgrade its connection

Cause: the parser library ends each request with such an offer at its head, tells its core to skip the body and raises HttpParserUpgrade; RequestReader took that for the end of the request. A trace of the callbacks on the same bytes shows on_headers_complete, on_message_complete, no on_body, and the offset of the first byte of the body.

Change: the offer is ignored, as RFC 9110, section 7.8 allows. After the head a new parser reads the body, framed as the request frames it.

Why it works: framing, limits and errors stay with the parser; only its stop is undone.

--- a/honeywharf/net/http1.py
+++ b/honeywharf/net/http1.py
@@ -231,11 +231,12 @@
     def body(self) -> bytes:
         return self.body_parts[0] if len(self.body_parts) == 1 else b"".join(self.body_parts)
 
+    def _feed_parser(self, data: bytes) -> None:
+        self.parser.feed_data(data)
+
     def _parse(self, data: bytes) -> None:
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            raise MalformedMessageError(400, "protocol upgrades are not supported") from None
+            self._feed_parser(data)
         except httptools.HttpParserError as error:
             # The parser wraps an exception that a callback raises in one of its own.
             cause: BaseException | None = error
@@ -259,6 +260,7 @@
         self.on_continue = on_continue
         self.parser: httptools.HttpRequestParser = httptools.HttpRequestParser(self)
         self.request = NO_REQUEST
+        self.body_framing = b""  # the header line that announces a body of the current request
         self.completed: list[Request] = []
         self.error: MalformedMessageError | None = None
 
@@ -271,10 +273,36 @@
         completed, self.completed = self.completed, []
         return completed
 
+    def _feed_parser(self, data: bytes) -> None:
+        """Feed the parser, and ignore offers to upgrade the connection (RFC 9110, section 7.8).
+
+        The parser ends a request with such an offer at the end of its head, as if its body were data of the
+        other protocol, and parses nothing after it.
+        """
+        while True:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                offset: int = upgrade.args[0]
+                data = data[offset:]
+                self._replace_parser()
+
+    def _replace_parser(self) -> None:
+        """Continue with a new parser after the head of a request that offers an upgrade.
+
+        If the request has a body, the new parser is fed a head that frames the same body and offers nothing.
+        """
+        self.parser = httptools.HttpRequestParser(self)
+        if self.in_body:
+            request = self.request
+            self.parser.feed_data(b"POST / HTTP/1.1\r\n" + self.body_framing + b"\r\n")
+            self.request = request
+
     def on_message_begin(self) -> None:
         """Start a new request."""
         super().on_message_begin()
-        self.request = Request()
+        self.request, self.body_framing = Request(), b""
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target."""
@@ -291,9 +319,12 @@
         if key == b"content-length":
             if content_length_exceeds(value, self.max_body_bytes):
                 raise MalformedMessageError(413, "the body is too large")
+            if content_length_exceeds(value, 0):
+                self.body_framing = b"Content-Length: %b\r\n" % value
         elif key == b"transfer-encoding":
             if value.strip().lower() != b"chunked":  # the parser accepts other codings
                 raise MalformedMessageError(400, "the only supported transfer coding is chunked")
+            self.body_framing = b"Transfer-Encoding: chunked\r\n"
         elif key in FORWARDED_HEADERS:
             self.request.forwarded_lines.append(b"%b: %b\r\n" % (name, value))
 
@@ -304,15 +335,20 @@
         request.method = self.parser.get_method()
         if request.method not in SUPPORTED_METHODS or self.parser.get_http_version() not in ("1.1", "1.0"):
             raise MalformedMessageError(400, "the method or the HTTP version is not supported")
+        request.keep_alive = self.parser.should_keep_alive() and self.parser.get_http_version() == "1.1"
         if request.expects_continue:
             self.on_continue()
 
     def on_message_complete(self) -> None:
-        """Add the request to the completed ones."""
+        """Add the request to the completed ones.
+
+        The parser also calls this at the end of a head that offers an upgrade, although a body follows.
+        """
+        if self.parser.should_upgrade() and self.body_framing:
+            return
         # The reader of an idle connection keeps no request in memory.
         request, self.request, self.in_body = self.request, NO_REQUEST, False
         request.body, self.body_parts = self.body(), []
-        request.keep_alive = self.parser.should_keep_alive() and self.parser.get_http_version() == "1.1"
         self.completed.append(request)
 
 
@@ -357,6 +393,13 @@
         completed, self.completed = self.completed, None
         return completed
 
+    def _feed_parser(self, data: bytes) -> None:
+        """Feed the parser, and reject a response that switches protocols (101): no upgrade was offered."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise MalformedMessageError(400, "the response switches to another protocol") from None
+
     def on_message_begin(self) -> None:
         """Start a new response."""
         if self.completed is not None:
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -90,6 +90,26 @@
     run_test(main())
 
 
+@pytest.mark.parametrize("class_name", ["order", "pay"])
+def test_a_request_that_offers_an_upgrade_reaches_the_backend_with_its_body(class_name: str) -> None:
+    """Guards against requests that ran without their body because they offered an upgrade."""
+    async def main() -> None:
+        backend = await Backend().start()
+        async with synced_proxy([backend.discovery_entry("b")]) as harness:
+            client = await Client.connect(harness.port)
+            for body in (b"amount=42.50", b"x" * http1.MAX_REQUEST_BODY_BYTES):
+                client.send(class_name, body, "4000m", "Connection: Upgrade", "Upgrade: h2c")
+                assert await client.read_status() == 200
+                client.send(class_name, body)
+                assert await client.read_status() == 200
+            bodies = [body for _, _, body in backend.requests]
+            assert bodies[0] == bodies[1] == b"amount=42.50"
+            assert bodies[2] == bodies[3] == b"x" * http1.MAX_REQUEST_BODY_BYTES
+            assert not any(b"upgrade" in headers for _, headers, _ in backend.requests)
+        await backend.stop()
+    run_test(main())
+
+
 @pytest.mark.parametrize("request_count", [downstream.MAX_PIPELINED_REQUESTS + 1, 400])
 def test_excess_pipelining_gets_one_response_and_closes_the_connection(request_count: int) -> None:
     async def main() -> None:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -69,6 +69,66 @@
     assert b"Transfer-Encoding" not in request.head()
 
 
+UPGRADE_OFFER = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABkAAQAAP__\r\n"
+READ_REQUEST = (
+    b"GET /api HTTP/1.1\r\nX-Correlation-Id: 9b20\r\nX-Service-Class: read\r\nX-Time-Left: 480m\r\n\r\n")
+
+
+def offer_upgrade(request: bytes) -> bytes:
+    return request.replace(b" HTTP/1.1\r\n", b" HTTP/1.1\r\n" + UPGRADE_OFFER)
+
+
+@pytest.mark.parametrize("size", [1, 7, 10_000])
+@pytest.mark.parametrize("request_bytes", [
+    VALID_REQUEST,
+    VALID_REQUEST.replace(b"Content-Length: 3\r\n\r\nabc", CHUNKED + b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"),
+    VALID_REQUEST.replace(b"Content-Length: 3\r\n\r\nabc", b"Content-Length: 0\r\n\r\n"),
+    VALID_REQUEST.replace(b"Cookie", b"Connection: close\r\nCookie"),
+    VALID_REQUEST.replace(b"HTTP/1.1", b"HTTP/1.0"),
+    READ_REQUEST,
+])
+def test_an_offer_to_upgrade_the_connection_changes_nothing_about_a_request(
+    request_bytes: bytes, size: int,
+) -> None:
+    """Guards against requests that reached a backend without their body because they offered an upgrade."""
+    (expected,) = make_reader().feed(request_bytes)
+    offering = offer_upgrade(request_bytes)
+    if expected.keep_alive:  # A further request follows on the same connection.
+        offering += offer_upgrade(READ_REQUEST)
+    reader, requests = make_reader(), []
+    for i in range(0, len(offering), size):
+        requests += reader.feed(offering[i:i + size])
+    assert reader.error is None
+    assert reader.idle
+    assert [request.id for request in requests] == [expected.id, "9b20"][:len(requests)]
+    assert len(requests) == (2 if expected.keep_alive else 1)
+    assert (requests[0].head(), requests[0].body) == (expected.head(), expected.body)
+    assert requests[0].keep_alive == expected.keep_alive
+
+
+@pytest.mark.parametrize(("raw", "status"), [
+    (VALID_REQUEST.replace(b"Content-Length: 3", b"Content-Length: 3\r\nContent-Length: 3"), 400),
+    (VALID_REQUEST.replace(b"Content-Length: 3", b"Content-Length: 65537"), 413),
+    (VALID_REQUEST.replace(b"Content-Length: 3\r\n\r\nabc", CHUNKED + b"zz\r\n"), 400),
+    (VALID_REQUEST.replace(b"Content-Length: 3\r\n\r\nabc", CHUNKED + b"20000\r\n" + b"x" * 70000), 413),
+    (READ_REQUEST + b"\x81\x05hello", 400),  # data of another protocol, to which nothing was switched
+    (VALID_REQUEST.replace(b"POST", b"CONNECT"), 400),
+])
+def test_a_malformed_request_that_offers_an_upgrade_is_rejected_with_its_status(
+    raw: bytes, status: int,
+) -> None:
+    reader = make_reader()
+    reader.feed(offer_upgrade(raw))
+    assert reader.error is not None
+    assert reader.error.status == status
+
+
+def test_many_requests_that_offer_an_upgrade_are_parsed_from_one_read() -> None:
+    reader = make_reader()
+    assert len(reader.feed(offer_upgrade(READ_REQUEST) * 3000)) == 3000
+    assert reader.error is None
+
+
 @pytest.mark.parametrize(("raw", "status"), [
     (b"nonsense\r\n\r\n", 400),
     (VALID_REQUEST.replace(b"480m", b"soon"), 400),
