Take no field of a trailer for a header, in requests and responses

A probe of both readers: of a chunked POST with the trailer `Host: evil`, `Idempotency-Key: k` both lines were among those forwarded as headers; a chunked 503 with the trailer `X-Unprocessed: 1` counted as never executed, so a payment that may have run could be sent again. A trailer with X-Time-Left got the request 400.

Cause: the parser calls on_header for the fields after the body as for those of the head, and neither reader looked at where it is.

Change: one on_header in the base class counts each field and stores it only while the head is read (RFC 9110, section 6.5.1).

--- a/honeywharf/net/http1.py
+++ b/honeywharf/net/http1.py
@@ -216,6 +216,18 @@
         if self.head_bytes > MAX_HEAD_BYTES:
             raise MalformedMessageError(431, "the head is too large")
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Count a header field and store it. A trailer field, which follows the body, is only counted.
+
+        A recipient must not take a trailer field for a header (RFC 9110, section 6.5.1).
+        """
+        self._count_head_bytes(len(name) + len(value) + 4)
+        if self.in_head:
+            self._store_header(name, value)
+
+    def _store_header(self, name: bytes, value: bytes) -> None:
+        raise NotImplementedError
+
     def on_body(self, data: bytes) -> None:
         self.body_bytes += len(data)
         if self.body_bytes > self.max_body_bytes:
@@ -309,9 +321,8 @@
         self._count_head_bytes(len(url))
         self.request.target += url
 
-    def on_header(self, name: bytes, value: bytes) -> None:
+    def _store_header(self, name: bytes, value: bytes) -> None:
         """Validate a header, and store or forward its value."""
-        self._count_head_bytes(len(name) + len(value) + 4)
         key = name.lower()
         set_value = HEADER_SETTERS.get(key)
         if set_value is not None:
@@ -407,9 +418,8 @@
         super().on_message_begin()
         self.response = Response()
 
-    def on_header(self, name: bytes, value: bytes) -> None:
+    def _store_header(self, name: bytes, value: bytes) -> None:
         """Store the value of a header that the proxy uses."""
-        self._count_head_bytes(len(name) + len(value) + 4)
         key = name.lower()
         if key == b"x-unprocessed":
             self.response.unprocessed = value.strip() == b"1"
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -169,6 +169,26 @@
     assert reader.error.status == status
 
 
+def test_trailer_fields_do_not_change_a_request() -> None:
+    """Guards against trailer fields that were taken for headers of the request, and forwarded as such."""
+    head = READ_REQUEST.replace(b"GET", b"POST").removesuffix(b"\r\n")
+    chunked = head + CHUNKED + b"1\r\nx\r\n0\r\n"
+    trailers = b"Idempotency-Key: k\r\nHost: other\r\nX-Correlation-Id: 2\r\nX-Time-Left: 9m\r\n"
+    (expected,) = make_reader().feed(chunked + b"\r\n")
+    (request,) = make_reader().feed(chunked + trailers + b"\r\n")
+    assert (request.head(), request.body) == (expected.head(), b"x")
+    assert (request.id, request.idempotency_key, request.time_left_ms) == ("9b20", b"", 480.0)
+
+
+def test_a_trailer_field_does_not_tell_that_a_request_was_not_executed() -> None:
+    """Guards against the repetition of a request that a trailer field declared as not executed."""
+    trailers = b"X-Unprocessed: 1\r\nX-Backend-Load: queue=2\r\n"
+    response = http1.ResponseReader().feed(
+        b"HTTP/1.1 503 X\r\n" + CHUNKED + b"1\r\nx\r\n0\r\n" + trailers + b"\r\n")
+    assert response is not None
+    assert (response.body, response.unprocessed, response.load_report) == (b"x", False, None)
+
+
 def test_a_valid_request_before_a_malformed_one_is_parsed() -> None:
     reader = make_reader()
     (request,) = reader.feed(VALID_REQUEST + b"nonsense\r\n\r\n")
