Limit the trailers and chunk extensions that follow a request's head

Cause: the parser keeps an unfinished line and calls nothing until it ends. The bytes of such a line were counted in the head only.

Change: input that brings neither the end of the head nor a part of the body is framing; at most MAX_HEAD_BYTES of it may come between two parts of the body, then the request gets 431. The same holds for responses.

Why no proper request is hit: the count starts anew with each part of the body. A test reads 20,000 chunks of one byte with extensions and a trailer, cut in pieces of 1 byte to 1 MB.

--- a/honeywharf/net/http1.py
+++ b/honeywharf/net/http1.py
@@ -200,6 +200,9 @@
         self.in_head = self.in_body = False
         self.head_bytes = 0
         self.body_bytes = 0
+        # The size of the input that was framing or trailers alone, since the last part of the body.
+        self.framing_bytes = 0
+        self.has_progressed = False  # the input that is being parsed ended the head or has a part of the body
         self.body_parts: list[bytes] = []
         self.parser: httptools.HttpRequestParser | httptools.HttpResponseParser
 
@@ -211,6 +214,10 @@
     def on_message_begin(self) -> None:
         self.in_head, self.head_bytes, self.body_bytes, self.body_parts = True, 0, 0, []
 
+    def on_headers_complete(self) -> None:
+        self.in_head, self.in_body = False, True
+        self.has_progressed, self.framing_bytes = True, 0
+
     def _count_head_bytes(self, size: int) -> None:
         self.head_bytes += size
         if self.head_bytes > MAX_HEAD_BYTES:
@@ -228,7 +235,13 @@
     def _store_header(self, name: bytes, value: bytes) -> None:
         raise NotImplementedError
 
+    def _count_framing_bytes(self, size: int) -> None:
+        self.framing_bytes += size
+        if self.framing_bytes > MAX_HEAD_BYTES:
+            raise MalformedMessageError(431, "the chunk extensions or trailers are too large")
+
     def on_body(self, data: bytes) -> None:
+        self.has_progressed, self.framing_bytes = True, 0
         self.body_bytes += len(data)
         if self.body_bytes > self.max_body_bytes:
             raise MalformedMessageError(413, "the body is too large")
@@ -247,6 +260,7 @@
         self.parser.feed_data(data)
 
     def _parse(self, data: bytes) -> None:
+        self.has_progressed = False
         try:
             self._feed_parser(data)
         except httptools.HttpParserError as error:
@@ -255,10 +269,12 @@
             while cause is not None and not isinstance(cause, MalformedMessageError):
                 cause = cause.__cause__ or cause.__context__
             raise cause or MalformedMessageError(400, str(error)) from None
+        # The parser buffers an unfinished line and invokes no callback until the line ends, so the bytes of
+        # an endless line are counted here.
         if self.in_head:
-            # The parser buffers an unfinished line and invokes no callback until the line ends, so the bytes
-            # of an endless line are counted here.
             self._count_head_bytes(len(data))
+        elif self.in_body and not self.has_progressed:
+            self._count_framing_bytes(len(data))
 
 
 class RequestReader(_Reader):
@@ -341,7 +357,7 @@
 
     def on_headers_complete(self) -> None:
         """Validate the request line, and let a client that waits for `100 Continue` send the body."""
-        self.in_head, self.in_body = False, True
+        super().on_headers_complete()
         request = self.request
         request.method = self.parser.get_method()
         if request.method not in SUPPORTED_METHODS or self.parser.get_http_version() not in ("1.1", "1.0"):
@@ -431,10 +447,6 @@
             # Otherwise a response that declares gigabytes would be read up to the limit.
             raise MalformedMessageError(413, "the body is too large")
 
-    def on_headers_complete(self) -> None:
-        """Expect the body from now on."""
-        self.in_head, self.in_body = False, True
-
     def on_message_complete(self) -> None:
         """Complete the response, or discard it if it is an interim one (1xx)."""
         self.in_body = False
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -189,6 +189,31 @@
     assert (response.body, response.unprocessed, response.load_report) == (b"x", False, None)
 
 
+@pytest.mark.parametrize("size", [1, 100, 4096])
+@pytest.mark.parametrize("endless", [b"0\r\nX-Endless: ", b"0\r\n", b"1;extension="])
+def test_an_endless_line_after_the_head_is_rejected(endless: bytes, size: int) -> None:
+    """Guards against a client that fills the memory with a trailer line that never ends."""
+    chunked = VALID_REQUEST.replace(b"Content-Length: 3\r\n\r\nabc", CHUNKED + b"1\r\nx\r\n")
+    reader, sent = make_reader(), 0
+    reader.feed(chunked)
+    reader.feed(endless)
+    while reader.error is None and sent <= http1.MAX_HEAD_BYTES:
+        reader.feed(b"a" * size)
+        sent += size
+    assert reader.error is not None
+    assert reader.error.status == 431
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 5, 7, 70_000, 1_000_000])
+def test_a_body_of_many_small_chunks_is_read_however_it_is_cut(size: int) -> None:
+    chunks = b"1;name=value\r\nx\r\n" * 20_000 + b"0\r\nX-Trailer: 1\r\n\r\n"
+    raw = VALID_REQUEST.replace(b"Content-Length: 3\r\n\r\nabc", CHUNKED + chunks)
+    reader = make_reader()
+    requests = [request for i in range(0, len(raw), size) for request in reader.feed(raw[i:i + size])]
+    assert reader.error is None
+    assert [request.body for request in requests] == [b"x" * 20_000]
+
+
 def test_a_valid_request_before_a_malformed_one_is_parsed() -> None:
     reader = make_reader()
     (request,) = reader.feed(VALID_REQUEST + b"nonsense\r\n\r\n")
