--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -18,6 +18,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -118,7 +119,7 @@
         self.connection: DiscoveryConnection | None = None
         self.poll: Poll | None = None  # the poll in flight
         self.poll_count = 0
-        self.counts: dict[str, int] = {}  # event counters for the `stats` line of the log
+        self.counts: Counter[str] = Counter()  # event counters for the `stats` line of the log
         self.connect_task: asyncio.Task[None] | None = None
         # The timeout of the poll in flight, or the pause before the next poll.
         self.poll_timer: asyncio.TimerHandle | None = None
@@ -182,7 +183,7 @@
     def _expire(self, reason: str) -> None:
         """Log and count the expiry, and let the balancer send nothing until the next list arrives."""
         log(f"discovery: the endpoint list has expired because {reason}: {self.list_summary()}")
-        self._count("lists overdue")
+        self.counts["lists overdue"] += 1
         self.expiry.expire()
 
     def _is_agent_down(self) -> bool:
@@ -212,9 +213,6 @@
         waits = f" of which {poll.wait_ms} ms may wait" if poll.is_long else ""
         return f"poll {poll.number} for {self.clock.now() - poll.sent_ms:.0f} ms{waits}"
 
-    def _count(self, counter: str) -> None:
-        self.counts[counter] = self.counts.get(counter, 0) + 1
-
     # Sending polls.
 
     def _start_next_poll(self) -> None:
@@ -273,7 +271,7 @@
 
     def _connect_failed(self, error: OSError) -> None:
         self.connect_task = None
-        self._count("polls not connected")
+        self.counts["polls not connected"] += 1
         if isinstance(error, ConnectionRefusedError) and not self.may_have_missed_changes:
             # Discovery is down and learns of no changes, so the list is current. Other errors do not prove
             # that, because their cause may be in the network or in this proxy.
@@ -307,7 +305,7 @@
             self._poll_for_full_list()
             return
         except (http1.MalformedMessageError, ValueError) as error:
-            self._count("polls failed")
+            self.counts["polls failed"] += 1
             log(f"discovery: {self._describe_poll(poll)}: {error}")
             self._poll_failed()
             return
@@ -343,7 +341,7 @@
 
         Discovery would have sent any earlier change in a response, so the list has been current until now.
         """
-        self._count("watches ended")
+        self.counts["watches ended"] += 1
         log(f"discovery: {self._describe_poll(poll)}: discovery ended the watch")
         self.expiry.confirm_current()
         self._poll_failed(poll_may_have_missed_changes=False)
@@ -358,7 +356,7 @@
     def _poll_succeeded(self, poll: Poll, event: api.EndpointsListed, *, keep_alive: bool) -> None:
         responded_at_once = self.clock.now() - poll.sent_ms < 1000.0 * EMPTY_RESPONSE_PAUSE_S
         is_first = not self.initialized
-        self._count("polls answered")
+        self.counts["polls answered"] += 1
         self._log_response(poll, event, is_first=is_first)
         self.poll, self.address_changed = None, False
         if poll.is_full:
@@ -393,7 +391,7 @@
         """Forget the connection, and handle the poll in flight on it as failed."""
         self.connection = None
         if self.poll is not None:
-            self._count("polls lost")
+            self.counts["polls lost"] += 1
             log(f"discovery: {self._describe_poll(self.poll)}: connection lost")
             self._poll_failed()
 
@@ -403,7 +401,7 @@
         The new poll does not wait for changes, and skips the backoff that the client or the balancer adds
         after a failed poll. Otherwise the list could expire before a new response arrives.
         """
-        self._count("polls timed out")
+        self.counts["polls timed out"] += 1
         if self.poll is not None:
             log(f"discovery: {self._describe_poll(self.poll)}: timed out without a complete response")
         self.initialized = self.may_have_missed_changes = True
--- a/honeywharf/net/driver.py
+++ b/honeywharf/net/driver.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 
 from honeywharf import interface as api
 from honeywharf.balancer import Balancer
@@ -45,7 +45,7 @@
         # The events for the balancer, each with the request that it concerns, if any.
         self.events: deque[tuple[api.Event, PendingRequest | None]] = deque()
         self.processing_scheduled = self.processing = False
-        self.counts: dict[str, int] = {}
+        self.counts: Counter[str] = Counter()
 
     def start(self, cached_list: api.EndpointsListed) -> None:
         """Start the balancer with the endpoint list that is cached from the last run."""
@@ -142,7 +142,7 @@
         if outcome is api.Outcome.OK and response is not None and not pending.finished:
             self._finish(pending, "served")
             pending.client.send_response(200, response.body, content_type=response.content_type)
-        self._count(outcome.value)
+        self.counts[outcome.value] += 1
         self._enqueue(api.AttemptEnded(
             pending.request.id, attempt.number, outcome, now - attempt.started_ms, pending.finished,
             self._parse_load_report(response.load_report) if response is not None else None, attempt.endpoint,
@@ -329,7 +329,7 @@
         pending = self.requests.get(action.request)
         if pending is not None and not pending.finished:
             self._finish(pending, counter)
-            self._count(f"{counter} {action.reason.value}")
+            self.counts[f"{counter} {action.reason.value}"] += 1
             pending.client.send_response(status, retry_after_ms=retry_after_ms)
 
     def fail_open_requests(self) -> None:
@@ -350,7 +350,7 @@
         """
         pending.finished = True
         self.open_request_count -= 1
-        self._count(counter)
+        self.counts[counter] += 1
         self._abort_unwritten_attempts(pending)
 
     def _abort_unwritten_attempts(self, pending: PendingRequest) -> None:
@@ -369,9 +369,6 @@
         # and not by the garbage collector.
         pending.attempts = []
 
-    def _count(self, counter: str) -> None:
-        self.counts[counter] = self.counts.get(counter, 0) + 1
-
     def _parse_load_report(self, load: bytes | None) -> tuple[float, ...] | None:
         """Return the values of a load report in the order of the settings, or None if one is missing."""
         if not load or not self.load_report_names:
