--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -157,8 +157,8 @@
     def _log_stats(self) -> None:
         """Log the counters that have changed since the last time."""
         counts = {
-            **self.driver.counts, **self.discovery_client.counts, "handshakes": self.pool.handshakes,
-            "late_connections": self.pool.slow_connect_count,
+            **self.driver.counts, **self.discovery_client.counts, **self.pool.counts,
+            "handshakes": self.pool.handshakes, "late_connections": self.pool.slow_connect_count,
         }
         changed = {
             name: count - self.logged_counts.get(name, 0) for name, count in counts.items()
--- a/honeywharf/net/backend.py
+++ b/honeywharf/net/backend.py
@@ -6,7 +6,7 @@
 import os
 import select
 import socket
-from collections import deque
+from collections import Counter, deque
 from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Protocol, cast
@@ -53,6 +53,7 @@
     loop: asyncio.AbstractEventLoop
     clock: Clock
     buffered_bytes: int  # of all responses that are incomplete
+    counts: Counter[str]  # event counters for the `stats` line of the log
 
     def release(self, connection: Connection) -> None:
         """Return the connection to the pool for the next call."""
@@ -219,6 +220,7 @@
         For an idle connection, this also updates the backend's `max_idle_ms`.
         """
         if self.call is not None:
+            self.pool.counts["calls ended by eof"] += 1
             self._finish_call(Outcome.CONNECT_FAILED if self.has_unwritten_data else Outcome.RESET, None)
         elif not self.closed:
             # The backend may close idle connections sooner than the settings say. A request that is written
@@ -233,6 +235,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the call, because the connection was lost."""
         if not self.closed:
+            if self.call is not None:
+                self.pool.counts["calls ended by reset"] += 1
             self._finish_call(Outcome.CONNECT_FAILED if self.has_unwritten_data else Outcome.RESET, None)
 
     def _finish_call(
--- a/honeywharf/net/connection_pool.py
+++ b/honeywharf/net/connection_pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+from collections import Counter
 
 from honeywharf import interface as api
 from honeywharf.net.backend import Backend, Connection, PendingConnection
@@ -42,6 +43,7 @@
         self.handshakes = 0  # connects started
         self.buffered_bytes = 0  # of all responses that are incomplete
         self.slow_connect_count = 0  # connects that exceeded the slow-connect threshold
+        self.counts: Counter[str] = Counter()  # event counters for the `stats` line of the log
         self.connect_times = ConnectTimes()
         self.connect_tasks: set[asyncio.Task[None]] = set()
         loop.call_later(IDLE_SWEEP_INTERVAL_S, self._close_expired_connections)
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import socket
+import struct
 from contextlib import suppress
 from typing import Any
 
@@ -83,6 +84,33 @@
     run_test(main())
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Reset the connection, in place of ending it in order."""
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+@pytest.mark.parametrize("ends_in_order", [True, False])
+def test_calls_ended_by_eof_and_by_a_reset_are_counted_apart(ends_in_order: bool) -> None:
+    async def main() -> None:
+        backend = await Backend().start()
+        backend.default_response = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort"
+        async with synced_proxy([backend.discovery_entry("b")], bounds={"mostTries": 1}) as harness:
+            client = await Client.connect(harness.port)
+            client.send("pay")
+            await with_timeout(backend.request_received.wait())
+            (writer,) = backend.writers
+            if ends_in_order:
+                writer.close()
+            else:
+                reset_connection(writer)
+            assert (await harness.wait_for_ended_attempt()).outcome is Outcome.RESET
+            counter = "calls ended by eof" if ends_in_order else "calls ended by reset"
+            assert harness.proxy.pool.counts == {counter: 1}
+        await backend.stop()
+    run_test(main())
+
+
 def test_a_refused_connection_ends_as_connect_failed() -> None:
     async def main() -> None:
         with socket.socket() as unused:
