Complete a response without a length when its connection ends in order

Cause: Connection.eof_received ended every call as a reset, and the reader could not be told that its input had ended.

Change: ResponseReader.end_of_input completes a response that declares neither a length nor a transfer coding; eof_received asks it. A call whose request is not written whole ends as before.

Why it works: for such a response the end of the connection is its end (RFC 9112, section 6.3), and it is told apart from a reset by the system.

--- a/honeywharf/net/backend.py
+++ b/honeywharf/net/backend.py
@@ -220,8 +220,7 @@
         For an idle connection, this also updates the backend's `max_idle_ms`.
         """
         if self.call is not None:
-            self.pool.counts["calls ended by eof"] += 1
-            self._finish_call(Outcome.CONNECT_FAILED if self.has_unwritten_data else Outcome.RESET, None)
+            self._finish_call_at_eof()
         elif not self.closed:
             # The backend may close idle connections sooner than the settings say. A request that is written
             # at the moment when it does so would end as a reset.
@@ -232,6 +231,16 @@
             self.close()
         return False
 
+    def _finish_call_at_eof(self) -> None:
+        """End the call: the EOF completes a response without a length, and cuts off any other one."""
+        response = None if self.has_unwritten_data else self.reader.end_of_input()
+        if response is not None:
+            self.pool.counts["responses ended by eof"] += 1
+            self._finish_call(outcome_of_response(response), response)
+            return
+        self.pool.counts["calls ended by eof"] += 1
+        self._finish_call(Outcome.CONNECT_FAILED if self.has_unwritten_data else Outcome.RESET, None)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """End the call, because the connection was lost."""
         if not self.closed:
--- a/honeywharf/net/http1.py
+++ b/honeywharf/net/http1.py
@@ -400,6 +400,7 @@
         super().__init__(max_body_bytes)
         self.parser: httptools.HttpResponseParser = httptools.HttpResponseParser(self)
         self.response = Response()
+        self.is_framed = False  # the response declares a length or a transfer coding
         self.completed: Response | None = None
         self.has_trailing_data = False  # bytes follow the response, so the connection must not be used again
         self.interim_count = 0
@@ -420,6 +421,17 @@
         completed, self.completed = self.completed, None
         return completed
 
+    def end_of_input(self) -> Response | None:
+        """Return the response that the end of the connection completes, if any.
+
+        A response that declares neither a length nor a transfer coding ends with its connection (RFC 9112,
+        section 6.3), if that is closed in order. A reset does not complete it.
+        """
+        if self.in_body and not self.is_framed:
+            self.on_message_complete()
+        completed, self.completed = self.completed, None
+        return completed
+
     def _feed_parser(self, data: bytes) -> None:
         """Feed the parser, and reject a response that switches protocols (101): no upgrade was offered."""
         try:
@@ -432,7 +444,7 @@
         if self.completed is not None:
             raise MalformedMessageError(400, "more data follows the response")
         super().on_message_begin()
-        self.response = Response()
+        self.response, self.is_framed = Response(), False
 
     def _store_header(self, name: bytes, value: bytes) -> None:
         """Store the value of a header that the proxy uses."""
@@ -443,9 +455,13 @@
             self.response.load_report = value
         elif key == b"content-type":
             self.response.content_type = value
-        elif key == b"content-length" and content_length_exceeds(value, self.max_body_bytes):
-            # Otherwise a response that declares gigabytes would be read up to the limit.
-            raise MalformedMessageError(413, "the body is too large")
+        elif key == b"transfer-encoding":
+            self.is_framed = True
+        elif key == b"content-length":
+            self.is_framed = True
+            if content_length_exceeds(value, self.max_body_bytes):
+                # Otherwise a response that declares gigabytes would be read up to the limit.
+                raise MalformedMessageError(413, "the body is too large")
 
     def on_message_complete(self) -> None:
         """Complete the response, or discard it if it is an interim one (1xx)."""
--- a/tests/proxy_harness.py
+++ b/tests/proxy_harness.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager, suppress
@@ -142,6 +144,12 @@
             writer.transport.abort()
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Reset the connection, in place of ending it in order."""
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 def discovery_entry(
     name: str, port: int, zone: str = "z", lifecycle: str = "up", **changes: Any
 ) -> dict[str, Any]:
