Apply a list of discovery without a length when its connection ends in order

Cause: DiscoveryConnection passed on the loss of the connection only, never the end of its input.

Change: an EOF completes such a response as it does for backends, and the client of discovery processes it as any other one. A list that is cut short is no valid JSON and fails the poll; an answer with a length that is cut short is a lost connection, as before.

--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -281,7 +281,7 @@
     # Responses and failures.
 
     def data_received(self, connection: DiscoveryConnection, data: bytes) -> None:
-        """Read the response; once it is complete, apply it, notify the balancer and send the next poll."""
+        """Read the response, and process it once it is complete."""
         poll = self.poll
         if poll is None:
             log("discovery: received data while no poll is in flight")
@@ -291,26 +291,44 @@
             poll.response_started_ms = self.clock.now()
         try:
             response = connection.reader.feed(data)
-            if response is None:
-                self._start_response_timer(poll)
-                return
-            if poll.response_timer is not None:
-                poll.response_timer.cancel()
-            if response.status == SERVICE_UNAVAILABLE and poll.continues_active_watch:
-                self._watch_ended(poll)
-                return
+        except http1.MalformedMessageError as error:
+            self._response_invalid(poll, error)
+            return
+        if response is None:
+            self._start_response_timer(poll)
+        else:
+            self._process_response(poll, response)
+
+    def eof_received(self, connection: DiscoveryConnection) -> None:
+        """Process a response without a length, which the end of the connection completes."""
+        response = connection.reader.end_of_input()
+        if response is not None and self.poll is not None:
+            self._process_response(self.poll, response)
+
+    def _process_response(self, poll: Poll, response: http1.Response) -> None:
+        """Apply the list in a response, notify the balancer and send the next poll."""
+        if poll.response_timer is not None:
+            poll.response_timer.cancel()
+        if response.status == SERVICE_UNAVAILABLE and poll.continues_active_watch:
+            self._watch_ended(poll)
+            return
+        try:
             event = self._apply(response, poll)
         except OlderGenerationError as error:
             log(f"discovery: {self._describe_poll(poll)}: {error}")
             self._poll_for_full_list()
             return
-        except (http1.MalformedMessageError, ValueError) as error:
-            self.counts["polls failed"] += 1
-            log(f"discovery: {self._describe_poll(poll)}: {error}")
-            self._poll_failed()
+        except ValueError as error:
+            self._response_invalid(poll, error)
             return
         self._poll_succeeded(poll, event, keep_alive=response.keep_alive)
 
+    def _response_invalid(self, poll: Poll, error: Exception) -> None:
+        """Handle a response that cannot be read, or that contains no valid list."""
+        self.counts["polls failed"] += 1
+        log(f"discovery: {self._describe_poll(poll)}: {error}")
+        self._poll_failed()
+
     def _start_response_timer(self, poll: Poll) -> None:
         """Limit the time for the rest of a response: the propagation deadline of its changes has come."""
         if poll.response_timer is None:
--- a/honeywharf/net/discovery_connection.py
+++ b/honeywharf/net/discovery_connection.py
@@ -18,6 +18,9 @@
     def data_received(self, connection: DiscoveryConnection, data: bytes) -> None:
         """Process the data received on the connection in use."""
 
+    def eof_received(self, connection: DiscoveryConnection) -> None:
+        """Process the end of the input on the connection in use."""
+
     def connection_lost(self) -> None:
         """Handle the loss of the connection in use."""
 
@@ -44,6 +47,12 @@
         if self.owner.connection is self:
             self.owner.data_received(self, data)
 
+    def eof_received(self) -> bool:
+        """Report the end of the input, before the connection closes, if the owner still uses it."""
+        if self.owner.connection is self:
+            self.owner.eof_received(self)
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the loss to the owner if it still uses this connection."""
         if self.owner.connection is self:
--- a/tests/test_close_delimited_responses.py
+++ b/tests/test_close_delimited_responses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 
 import pytest
@@ -16,9 +17,12 @@
     Client,
     ProxyHarness,
     RecordingCall,
+    discovery_entry,
     reset_connection,
     run_test,
+    started_proxy,
     synced_proxy,
+    wait_for_list,
     wait_until,
     with_timeout,
 )
@@ -144,3 +148,29 @@
     assert reader.feed(HEAD + b"\r\n" + b"x" * 10) is None
     with pytest.raises(http1.MalformedMessageError):
         reader.feed(b"x")
+
+
+@pytest.mark.parametrize(("received", "is_complete"), [(1.0, True), (0.5, False)])
+def test_a_list_without_a_length_that_ends_in_order_is_applied(received: float, is_complete: bool) -> None:
+    """Guards against lists that were never applied, because the response of discovery had no length."""
+    body = json.dumps({"generation": 2, "reset": True, "instances": [discovery_entry("c", 1)]}).encode()
+
+    async def main() -> None:
+        async with started_proxy([]) as harness:
+            discovery = harness.discovery
+            await with_timeout(discovery.request_received.wait())
+            discovery.responses.put_nowait(HEAD + b"\r\n" + body[:int(received * len(body))])
+            client = harness.proxy.discovery_client
+            await wait_until(lambda: client.poll is not None and client.poll.response_started_ms is not None)
+            (writer,) = discovery.connections
+            writer.close()
+            if is_complete:
+                event = await wait_for_list(harness, 2)
+                assert [endpoint.id for endpoint in event.endpoints] == ["c"]
+                assert not client.counts["polls lost"]
+            else:
+                await wait_until(lambda: client.counts["polls failed"] == 1)
+                assert harness.proxy.directory.generation == 1
+            # The proxy polls again, on a new connection.
+            await wait_until(lambda: len(discovery.request_lines) == 2)
+    run_test(main())
