Test a half-written request once for all ways in which its connection ends

The test of a response without a length to half a request stood beside its twin in test_connection_pool.py; one test has the four cases now, with the check on open connections for all.

--- a/tests/test_close_delimited_responses.py
+++ b/tests/test_close_delimited_responses.py
@@ -2,21 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
-import socket
 
 import pytest
 
 from honeywharf import interface as api
 from honeywharf.net import http1
-from honeywharf.net.clock import Clock
-from honeywharf.net.connection_pool import ConnectionPool
 from tests.proxy_harness import (
     Backend,
     Client,
     ProxyHarness,
-    RecordingCall,
     discovery_entry,
     reset_connection,
     run_test,
@@ -122,27 +117,6 @@
     run_test(main())
 
 
-def test_a_response_without_a_length_to_half_a_request_does_not_complete_the_call() -> None:
-    """The body is larger than the buffers of the sockets, so the backend cannot have executed the request."""
-    async def main() -> None:
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            listener.setblocking(False)
-            loop = asyncio.get_running_loop()
-            pool = ConnectionPool(loop, Clock(), api.Limits(connect_timeout_ms=2000.0), 10)
-            pool.set_endpoint("b", listener.getsockname(), None, accepts_calls=True)
-            call = RecordingCall(b"x" * (64 << 20))
-            pool.start(call)
-            peer, _ = await with_timeout(loop.sock_accept(listener))
-            await wait_until(lambda: call.connection is not None)
-            assert pool.has_unwritten_data(call)
-            await loop.sock_sendall(peer, HEAD + b"\r\nwhole")
-            peer.shutdown(socket.SHUT_WR)
-            await with_timeout(call.finished.wait())
-            assert call.outcomes == [Outcome.CONNECT_FAILED]
-            peer.close()
-    run_test(main())
-
-
 def test_a_close_delimited_response_is_limited_in_size() -> None:
     reader = http1.ResponseReader(max_body_bytes=10)
     assert reader.feed(HEAD + b"\r\n" + b"x" * 10) is None
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -201,8 +201,17 @@
     run_test(main())
 
 
-def test_losing_a_connection_before_the_request_is_written_is_connect_failed() -> None:
-    """The body is larger than the buffers of the sockets, and the backend never reads it."""
+@pytest.mark.parametrize(("response", "ends_in_order"), [
+    (b"", False), (b"", True), (b"HTTP/1.1 200 OK\r\n\r\nno length", False),
+    (b"HTTP/1.1 200 OK\r\n\r\nno length", True),
+])
+def test_losing_a_connection_before_the_request_is_written_is_connect_failed(
+    response: bytes, ends_in_order: bool,
+) -> None:
+    """The body is larger than the buffers of the sockets, and the backend never reads it.
+
+    So the backend cannot have executed the request, whatever it responds.
+    """
     async def main() -> None:
         with socket.socket() as listener:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -217,10 +226,15 @@
             peer, _ = await with_timeout(loop.sock_accept(listener))
             await wait_until(lambda: call.connection is not None)
             assert pool.has_unwritten_data(call)
-            peer.close()
+            await loop.sock_sendall(peer, response)
+            if ends_in_order:
+                peer.shutdown(socket.SHUT_WR)
+            else:
+                peer.close()  # resets the connection, because part of the request is unread
             await with_timeout(call.finished.wait())
             assert call.outcomes == [Outcome.CONNECT_FAILED]
             assert pool.total_connections == 0
+            peer.close()
     run_test(main())
 
 
