--- a/honeywharf/net/downstream.py
+++ b/honeywharf/net/downstream.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import cast
 
-from honeywharf.net import http1
+from honeywharf.net import http1, message_readers
 from honeywharf.net.clock import Clock
 from honeywharf.net.config import Address
 from honeywharf.net.driver import SERVICE_UNAVAILABLE, Driver
@@ -20,7 +20,7 @@
 #: A client that pipelines more requests than this is rejected. Clients normally send one request at a time.
 MAX_PIPELINED_REQUESTS = 8
 #: The maximum total body size of two or more pipelined requests.
-MAX_PIPELINED_BYTES = http1.MAX_REQUEST_BODY_BYTES
+MAX_PIPELINED_BYTES = message_readers.MAX_REQUEST_BODY_BYTES
 #: A connection on which nothing has been received is closed after this time.
 FIRST_BYTE_TIMEOUT_MS = 2000.0
 #: A connection is closed after it has been idle for this time since its last response.
@@ -53,7 +53,7 @@
 
     def __init__(self, frontend: Frontend) -> None:
         self.frontend = frontend
-        self.reader = http1.RequestReader(self._send_continue)
+        self.reader = message_readers.RequestReader(self._send_continue)
         self.current_request: http1.Request | None = None
         self.pipelined: deque[http1.Request] = deque()
         self.pipelined_bytes = 0
--- /dev/null
+++ b/honeywharf/net/message_readers.py
@@ -0,0 +1,299 @@
+"""Incremental readers of HTTP/1.1 requests and responses."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import httptools
+
+from honeywharf.net.http1 import MalformedMessageError, Request, Response, content_length_exceeds
+from honeywharf.net.request_headers import FORWARDED_HEADERS, HEADER_SETTERS
+
+MAX_REQUEST_BODY_BYTES = 64 * 1024
+# The service protocol, which states how the clients and backends of this system use HTTP, limits a response
+# body to 64 KiB, but valid ones of 400 KB occur. A longer one than this counts as malformed. Many long ones
+# at once could exhaust the memory, so the pool limits what they hold together.
+MAX_RESPONSE_BODY_BYTES = 1024 * 1024
+MAX_HEAD_BYTES = 16 * 1024
+MAX_INTERIM_RESPONSES = 8  # 1xx responses before one final response
+SUPPORTED_METHODS = frozenset((b"GET", b"POST", b"HEAD", b"PUT", b"DELETE", b"OPTIONS", b"PATCH"))
+NO_REQUEST = Request()  # the placeholder while no request is being read
+
+
+class MessageReader:
+    """The base of both readers. It limits the size of head and body, whatever length a message declares.
+
+    The parser calls the methods `on_...` while it is fed.
+    """
+
+    def __init__(self, max_body_bytes: int) -> None:
+        self.max_body_bytes = max_body_bytes
+        self.in_head = self.in_body = False
+        self.head_bytes = 0
+        self.body_bytes = 0
+        # The size of the input that was framing or trailers alone, since the last part of the body.
+        self.framing_bytes = 0
+        self.has_progressed = False  # the input that is being parsed ended the head or has a part of the body
+        self.body_parts: list[bytes] = []
+        self.parser: httptools.HttpRequestParser | httptools.HttpResponseParser
+
+    @property
+    def idle(self) -> bool:
+        """Whether no message is incomplete."""
+        return not self.in_head and not self.in_body
+
+    def on_message_begin(self) -> None:
+        """Start a new message."""
+        self.in_head, self.head_bytes, self.body_bytes, self.body_parts = True, 0, 0, []
+
+    def on_headers_complete(self) -> None:
+        """Expect the body from now on."""
+        self.in_head, self.in_body = False, True
+        self.has_progressed, self.framing_bytes = True, 0
+
+    def _count_head_bytes(self, size: int) -> None:
+        self.head_bytes += size
+        if self.head_bytes > MAX_HEAD_BYTES:
+            raise MalformedMessageError(431, "the head is too large")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Count a header field and store it. A trailer field, which follows the body, is only counted.
+
+        A recipient must not take a trailer field for a header (RFC 9110, section 6.5.1).
+        """
+        self._count_head_bytes(len(name) + len(value) + 4)
+        if self.in_head:
+            self._store_header(name, value)
+
+    def _store_header(self, name: bytes, value: bytes) -> None:
+        raise NotImplementedError
+
+    def _count_framing_bytes(self, size: int) -> None:
+        self.framing_bytes += size
+        if self.framing_bytes > MAX_HEAD_BYTES:
+            raise MalformedMessageError(431, "the chunk extensions or trailers are too large")
+
+    def on_body(self, data: bytes) -> None:
+        """Add a part of the body."""
+        self.has_progressed, self.framing_bytes = True, 0
+        self.body_bytes += len(data)
+        if self.body_bytes > self.max_body_bytes:
+            raise MalformedMessageError(413, "the body is too large")
+        self.body_parts.append(data)
+
+    def close(self) -> None:
+        """Delete the parser. It refers back to the reader, so both would wait for the garbage collector."""
+        self.in_head = self.in_body = False
+        self.body_parts = []
+        del self.parser
+
+    def body(self) -> bytes:
+        """Return the body as far as it has been read."""
+        return self.body_parts[0] if len(self.body_parts) == 1 else b"".join(self.body_parts)
+
+    def _feed_parser(self, data: bytes) -> None:
+        raise NotImplementedError
+
+    def _parse(self, data: bytes) -> None:
+        self.has_progressed = False
+        try:
+            self._feed_parser(data)
+        except httptools.HttpParserError as error:
+            # The parser wraps an exception that a callback raises in one of its own.
+            cause: BaseException | None = error
+            while cause is not None and not isinstance(cause, MalformedMessageError):
+                cause = cause.__cause__ or cause.__context__
+            raise cause or MalformedMessageError(400, str(error)) from None
+        # The parser buffers an unfinished line and invokes no callback until the line ends, so the bytes of
+        # an endless line are counted here.
+        if self.in_head:
+            self._count_head_bytes(len(data))
+        elif self.in_body and not self.has_progressed:
+            self._count_framing_bytes(len(data))
+
+
+class RequestReader(MessageReader):
+    """Parses the bytes that one client sends into requests.
+
+    `on_continue` is called for each request whose client waits for `100 Continue` before it sends the body.
+    """
+
+    def __init__(self, on_continue: Callable[[], None]) -> None:
+        super().__init__(MAX_REQUEST_BODY_BYTES)
+        self.on_continue = on_continue
+        self.parser: httptools.HttpRequestParser = httptools.HttpRequestParser(self)
+        self.request = NO_REQUEST
+        self.body_framing = b""  # the header line that announces a body of the current request
+        self.completed: list[Request] = []
+        self.error: MalformedMessageError | None = None
+
+    def feed(self, data: bytes) -> list[Request]:
+        """Return the requests that these bytes complete. Sets `error` if what follows them is malformed."""
+        try:
+            self._parse(data)
+        except MalformedMessageError as error:
+            self.error = error
+        completed, self.completed = self.completed, []
+        return completed
+
+    def _feed_parser(self, data: bytes) -> None:
+        """Feed the parser, and ignore offers to upgrade the connection (RFC 9110, section 7.8).
+
+        The parser ends a request with such an offer at the end of its head, as if its body were data of the
+        other protocol, and parses nothing after it.
+        """
+        while True:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                offset: int = upgrade.args[0]
+                data = data[offset:]
+                self._replace_parser()
+
+    def _replace_parser(self) -> None:
+        """Continue with a new parser after the head of a request that offers an upgrade.
+
+        If the request has a body, the new parser is fed a head that frames the same body and offers nothing.
+        """
+        self.parser = httptools.HttpRequestParser(self)
+        if self.in_body:
+            request = self.request
+            self.parser.feed_data(b"POST / HTTP/1.1\r\n" + self.body_framing + b"\r\n")
+            self.request = request
+
+    def on_message_begin(self) -> None:
+        """Start a new request."""
+        super().on_message_begin()
+        self.request, self.body_framing = Request(), b""
+
+    def on_url(self, url: bytes) -> None:
+        """Append a part of the target."""
+        self._count_head_bytes(len(url))
+        self.request.target += url
+
+    def _store_header(self, name: bytes, value: bytes) -> None:
+        """Validate a header, and store or forward its value."""
+        key = name.lower()
+        set_value = HEADER_SETTERS.get(key)
+        if set_value is not None:
+            set_value(self.request, value)
+        if key == b"content-length":
+            if content_length_exceeds(value, self.max_body_bytes):
+                raise MalformedMessageError(413, "the body is too large")
+            if content_length_exceeds(value, 0):
+                self.body_framing = b"Content-Length: %b\r\n" % value
+        elif key == b"transfer-encoding":
+            if value.strip().lower() != b"chunked":  # the parser accepts other codings
+                raise MalformedMessageError(400, "the only supported transfer coding is chunked")
+            self.body_framing = b"Transfer-Encoding: chunked\r\n"
+        elif key in FORWARDED_HEADERS:
+            self.request.forwarded_lines.append(b"%b: %b\r\n" % (name, value))
+
+    def on_headers_complete(self) -> None:
+        """Validate the request line, and let a client that waits for `100 Continue` send the body."""
+        super().on_headers_complete()
+        request = self.request
+        request.method = self.parser.get_method()
+        if request.method not in SUPPORTED_METHODS or self.parser.get_http_version() not in ("1.1", "1.0"):
+            raise MalformedMessageError(400, "the method or the HTTP version is not supported")
+        request.keep_alive = self.parser.should_keep_alive() and self.parser.get_http_version() == "1.1"
+        if request.expects_continue:
+            self.on_continue()
+
+    def on_message_complete(self) -> None:
+        """Add the request to the completed ones.
+
+        The parser also calls this at the end of a head that offers an upgrade, although a body follows.
+        """
+        if self.parser.should_upgrade() and self.body_framing:
+            return
+        # The reader of an idle connection keeps no request in memory.
+        request, self.request, self.in_body = self.request, NO_REQUEST, False
+        request.body, self.body_parts = self.body(), []
+        self.completed.append(request)
+
+
+class ResponseReader(MessageReader):
+    """Parses the bytes that arrive on one connection into responses, one to each request."""
+
+    def __init__(self, max_body_bytes: int = MAX_RESPONSE_BODY_BYTES) -> None:
+        super().__init__(max_body_bytes)
+        self.parser: httptools.HttpResponseParser = httptools.HttpResponseParser(self)
+        self.response = Response()
+        self.is_framed = False  # the response declares a length or a transfer coding
+        self.completed: Response | None = None
+        self.has_trailing_data = False  # bytes follow the response, so the connection must not be used again
+        self.interim_count = 0
+
+    def feed(self, data: bytes) -> Response | None:
+        """Return the response that these bytes complete, if any.
+
+        Bytes that follow the response do not invalidate it, whatever they are: it is complete and belongs to
+        the one request that was outstanding. Only the connection must not be used again.
+        """
+        self.completed = None
+        try:
+            self._parse(data)
+        except MalformedMessageError:
+            if self.completed is None:
+                raise
+            self.has_trailing_data = True
+        completed, self.completed = self.completed, None
+        return completed
+
+    def end_of_input(self) -> Response | None:
+        """Return the response that the end of the connection completes, if any.
+
+        A response that declares neither a length nor a transfer coding ends with its connection (RFC 9112,
+        section 6.3), if that is closed in order. A reset does not complete it.
+        """
+        if self.in_body and not self.is_framed:
+            self.on_message_complete()
+        completed, self.completed = self.completed, None
+        return completed
+
+    def _feed_parser(self, data: bytes) -> None:
+        """Feed the parser, and reject a response that switches protocols (101): no upgrade was offered."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise MalformedMessageError(400, "the response switches to another protocol") from None
+
+    def on_message_begin(self) -> None:
+        """Start a new response."""
+        if self.completed is not None:
+            raise MalformedMessageError(400, "more data follows the response")
+        super().on_message_begin()
+        self.response, self.is_framed = Response(), False
+
+    def _store_header(self, name: bytes, value: bytes) -> None:
+        """Store the value of a header that the proxy uses."""
+        key = name.lower()
+        if key == b"x-unprocessed":
+            self.response.unprocessed = value.strip() == b"1"
+        elif key == b"x-backend-load":
+            self.response.load_report = value
+        elif key == b"content-type":
+            self.response.content_type = value
+        elif key == b"transfer-encoding":
+            self.is_framed = True
+        elif key == b"content-length":
+            self.is_framed = True
+            if content_length_exceeds(value, self.max_body_bytes):
+                # Otherwise a response that declares gigabytes would be read up to the limit.
+                raise MalformedMessageError(413, "the body is too large")
+
+    def on_message_complete(self) -> None:
+        """Complete the response, or discard it if it is an interim one (1xx)."""
+        self.in_body = False
+        status = self.parser.get_status_code()
+        if status < 200:  # the final response follows
+            self.body_parts, self.interim_count = [], self.interim_count + 1
+            if self.interim_count > MAX_INTERIM_RESPONSES or status < 100:
+                raise MalformedMessageError(400, "too many interim responses, or a status below 100")
+            return
+        response, self.interim_count = self.response, 0
+        response.status, response.body, self.body_parts = status, self.body(), []
+        response.keep_alive = self.parser.should_keep_alive()
+        self.response, self.completed = Response(), response
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -12,7 +12,7 @@
 import pytest
 
 from honeywharf import interface as api
-from honeywharf.net import downstream, http1
+from honeywharf.net import downstream, http1, message_readers
 from tests.proxy_harness import (
     Backend,
     Client,
@@ -97,14 +97,14 @@
         backend = await Backend().start()
         async with synced_proxy([backend.discovery_entry("b")]) as harness:
             client = await Client.connect(harness.port)
-            for body in (b"amount=42.50", b"x" * http1.MAX_REQUEST_BODY_BYTES):
+            for body in (b"amount=42.50", b"x" * message_readers.MAX_REQUEST_BODY_BYTES):
                 client.send(class_name, body, "4000m", "Connection: Upgrade", "Upgrade: h2c")
                 assert await client.read_status() == 200
                 client.send(class_name, body)
                 assert await client.read_status() == 200
             bodies = [body for _, _, body in backend.requests]
             assert bodies[0] == bodies[1] == b"amount=42.50"
-            assert bodies[2] == bodies[3] == b"x" * http1.MAX_REQUEST_BODY_BYTES
+            assert bodies[2] == bodies[3] == b"x" * message_readers.MAX_REQUEST_BODY_BYTES
             assert not any(b"upgrade" in headers for _, headers, _ in backend.requests)
         await backend.stop()
     run_test(main())
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from honeywharf.net import http1
+from honeywharf.net import http1, message_readers
 
 VALID_REQUEST = (
     b"POST /api?x=1 HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: 9b1f\r\nX-Service-Class: checkout\r\n"
@@ -14,8 +14,8 @@
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 
 
-def make_reader() -> http1.RequestReader:
-    return http1.RequestReader(lambda: None)
+def make_reader() -> message_readers.RequestReader:
+    return message_readers.RequestReader(lambda: None)
 
 
 @pytest.mark.parametrize(("text", "ms"), [
@@ -183,7 +183,7 @@
 def test_a_trailer_field_does_not_tell_that_a_request_was_not_executed() -> None:
     """Guards against the repetition of a request that a trailer field declared as not executed."""
     trailers = b"X-Unprocessed: 1\r\nX-Backend-Load: queue=2\r\n"
-    response = http1.ResponseReader().feed(
+    response = message_readers.ResponseReader().feed(
         b"HTTP/1.1 503 X\r\n" + CHUNKED + b"1\r\nx\r\n0\r\n" + trailers + b"\r\n")
     assert response is not None
     assert (response.body, response.unprocessed, response.load_report) == (b"x", False, None)
@@ -197,7 +197,7 @@
     reader, sent = make_reader(), 0
     reader.feed(chunked)
     reader.feed(endless)
-    while reader.error is None and sent <= http1.MAX_HEAD_BYTES:
+    while reader.error is None and sent <= message_readers.MAX_HEAD_BYTES:
         reader.feed(b"a" * size)
         sent += size
     assert reader.error is not None
@@ -222,7 +222,7 @@
 
 
 def test_a_response_and_its_load_report_are_parsed() -> None:
-    reader = http1.ResponseReader()
+    reader = message_readers.ResponseReader()
     raw = b"HTTP/1.1 503 X\r\nX-Unprocessed: 1\r\nX-Backend-Load: queue=2\r\nContent-Length: 2\r\n\r\nno"
     assert reader.feed(raw[:-1]) is None
     assert not reader.idle
@@ -236,7 +236,7 @@
 
 def test_an_interim_response_is_skipped() -> None:
     raw = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx"
-    response = http1.ResponseReader().feed(raw)
+    response = message_readers.ResponseReader().feed(raw)
     assert response is not None
     assert (response.status, response.body, response.keep_alive) == (200, b"x", False)
 
@@ -252,7 +252,7 @@
     b"Content-Length: 1\r\n\r\nx", b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
 ])
 def test_a_complete_response_is_returned_despite_trailing_data(framed_body: bytes, trailing: bytes) -> None:
-    reader = http1.ResponseReader()
+    reader = message_readers.ResponseReader()
     response = reader.feed(STATUS_LINE + framed_body + trailing)
     assert response is not None
     assert response.body == b"x"
@@ -261,11 +261,12 @@
 
 def test_interim_responses_are_limited_and_their_headers_are_discarded() -> None:
     interim = b"HTTP/1.1 103 Early\r\nX-Backend-Load: queue=9\r\nX-Unprocessed: 1\r\n\r\n"
-    response = http1.ResponseReader().feed(interim * 2 + STATUS_LINE + b"Content-Length: 1\r\n\r\nx")
+    response = message_readers.ResponseReader().feed(
+        interim * 2 + STATUS_LINE + b"Content-Length: 1\r\n\r\nx")
     assert response is not None
     assert (response.body, response.load_report, response.unprocessed) == (b"x", None, False)
     with pytest.raises(http1.MalformedMessageError):
-        http1.ResponseReader().feed(interim * 50)
+        message_readers.ResponseReader().feed(interim * 50)
 
 
 @pytest.mark.parametrize("text", [
@@ -282,7 +283,7 @@
 def test_an_idle_reader_releases_the_last_request() -> None:
     reader = make_reader()
     reader.feed(VALID_REQUEST)
-    assert reader.request is http1.NO_REQUEST
+    assert reader.request is message_readers.NO_REQUEST
     assert reader.body_parts == []
 
 
@@ -303,7 +304,7 @@
 ])
 def test_malformed_responses_raise_an_error(raw: bytes) -> None:
     with pytest.raises(http1.MalformedMessageError):
-        http1.ResponseReader().feed(raw)
+        message_readers.ResponseReader().feed(raw)
 
 
 def test_retry_after_is_in_decimal_seconds() -> None:
