--- a/tests/test_host_set.py
+++ b/tests/test_host_set.py
@@ -91,6 +91,21 @@
     assert sends
 
 
+def test_all_ready_servers_are_usable_when_all_are_ejected() -> None:
+    """Outlier detection must not stop the traffic, even if the servers of all zones refuse connections."""
+    harness = BalancerHarness(make_settings(limits=api.Limits(max_attempts=1)))
+    harness.feed_list(TWO_ZONE_ENDPOINTS)
+    harness.run_requests(200)
+    host_set = harness.balancer.host_set
+    servers = host_set.servers.values()
+    for _ in range(100):
+        if not all(server.ejected_until_ms > harness.now_ms for server in servers):
+            harness.run_requests(1, api.Outcome.CONNECT_FAILED)
+    assert all(server.ejected_until_ms > harness.now_ms for server in servers)
+    assert len(host_set.usable) == len(TWO_ZONE_ENDPOINTS)
+    assert set(harness.run_requests(300)) == {"a0", "a1", "a2", "a3"}
+
+
 @pytest.mark.parametrize(("balancers", "calls_per_s"), [(25, 1.0), (200, 0.3)])
 def test_the_peak_response_rate_is_close_to_the_true_rate_where_responses_are_few(
     balancers: int, calls_per_s: float,
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -21,7 +21,6 @@
 from tests.balancer_harness import make_settings
 
 ROOT = Path(__file__).parent.parent
-Script = list[tuple[float, api.Event]]
 
 
 def run_events(rename: dict[str, str], seed: int = 3, servers: int = 12) -> list[str]:
--- a/tests/test_outlier.py
+++ b/tests/test_outlier.py
@@ -195,6 +195,21 @@
     expect_single_send(harness.start_request("write"))
 
 
+def test_requests_are_still_sent_after_their_class_has_timed_out_at_all_servers() -> None:
+    harness = BalancerHarness(make_settings(limits=api.Limits(max_attempts=1)))
+    harness.feed_list(TWO_ZONE_ENDPOINTS)
+    harness.run_requests(200)
+    servers = harness.balancer.host_set.servers.values()
+    for _ in range(100):
+        if not all("write" in server.class_ejected_until_ms for server in servers):
+            expect_single_send(harness.start_request("write"))
+            harness.end_attempt(api.Outcome.TIMEOUT, request_finished=True)
+    assert all(server.class_ejected_until_ms["write"] > harness.now_ms for server in servers)
+    for _ in range(20):
+        expect_single_send(harness.start_request("write"))
+        harness.end_attempt(api.Outcome.OK)
+
+
 def test_a_server_that_rejects_a_call_is_ejected() -> None:
     """An overloaded server stays overloaded if it is sent a new call whenever it finishes one."""
     harness = BalancerHarness()
--- a/tests/test_retry_safety.py
+++ b/tests/test_retry_safety.py
@@ -270,7 +270,6 @@
         self.timers: list[tuple[float, str]] = []
         self.now_ms, self.request_count = 1000.0, 0
         self.in_flight: list[tuple[float, str, int, api.Outcome]] = []
-        self.names = [e.id for e in ENDPOINTS_IN_THREE_CELLS]
         self.feed(api.Started())
         self.feed(api.EndpointsListed(api.ListKind.CACHED, tuple(ENDPOINTS_IN_THREE_CELLS)))
 
