Split the client connection from the frontend

downstream.py held two classes of 200 lines each. ClientConnection and its constants are in client_connection.py, with the part of the frontend that it uses as a Protocol, as the connections to backends and to discovery have theirs; Frontend stays in frontend.py.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -19,9 +19,9 @@
 from honeywharf.net.clock import Clock
 from honeywharf.net.connection_pool import ConnectionPool
 from honeywharf.net.discovery import DiscoveryClient
-from honeywharf.net.downstream import Frontend
 from honeywharf.net.driver import Driver
 from honeywharf.net.endpoint_directory import EndpointDirectory
+from honeywharf.net.frontend import Frontend
 from honeywharf.net.log import log
 
 # The file descriptors are divided between the proxy itself, the connections to backends, and the clients.
--- /dev/null
+++ b/honeywharf/net/frontend.py
@@ -0,0 +1,207 @@
+"""The listener and all connections from clients: limits, timeouts, the readiness endpoint and draining."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from honeywharf.net import http1
+from honeywharf.net.client_connection import ClientConnection
+from honeywharf.net.clock import Clock
+from honeywharf.net.config import Address
+from honeywharf.net.driver import SERVICE_UNAVAILABLE, Driver
+
+READINESS_PATH = b"/health/ready"
+API_PATH = b"/api"
+LISTEN_BACKLOG = 1024
+#: A connection on which nothing has been received is closed after this time.
+FIRST_BYTE_TIMEOUT_MS = 2000.0
+#: A connection is closed after it has been idle for this time since its last response.
+IDLE_TIMEOUT_MS = 6000.0
+#: The idle timeout while more than half of the allowed connections are open.
+REDUCED_IDLE_TIMEOUT_MS = 2000.0
+#: A request must be received completely within this time after its first byte.
+REQUEST_TIMEOUT_MS = 2400.0
+#: A connection without a complete request is evicted before the idle ones only if it has waited this long.
+MIN_EVICTION_AGE_MS = 250.0
+SWEEP_INTERVAL_S = 0.2
+
+
+class Frontend:
+    """The listening socket and all connections from clients."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, clock: Clock, driver: Driver, max_connections: int,
+        can_serve: Callable[[], bool],
+    ) -> None:
+        self.loop, self.clock, self.driver, self.max_connections = loop, clock, driver, max_connections
+        self.can_serve = can_serve
+        self.connections: set[ClientConnection] = set()
+        # Each group holds connections without a complete request, in the order in which they entered it.
+        self.awaiting_first_byte: dict[ClientConnection, None] = {}  # nothing has been received
+        self.receiving: dict[ClientConnection, None] = {}  # part of a request has been received
+        self.idle: dict[ClientConnection, None] = {}  # the response to the last request has been sent
+        self.lingering: dict[ClientConnection, None] = {}  # the last response has been sent
+        self.server: asyncio.Server | None = None
+        self.listener: socket.socket | None = None
+        self.accept_tasks: set[asyncio.Task[object]] = set()
+        self.draining = False
+        self.refusing_requests = False  # whether new requests get a 503, because the process is about to end
+        self.on_all_closed: Callable[[], None] | None = None
+
+    async def listen(self, address: Address) -> Address:
+        """Open the listener, and return its address."""
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self.listener = socket.create_server(address, family=family, backlog=LISTEN_BACKLOG)
+        self.listener.setblocking(False)
+        self.server = await self.loop.create_server(
+            lambda: ClientConnection(self), sock=self.listener, backlog=LISTEN_BACKLOG)
+        self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        return host, port
+
+    def connection_opened(self, connection: ClientConnection) -> None:
+        """Add a new connection.
+
+        Beyond the limit, another connection is evicted; if none can be, the new one is rejected.
+        """
+        self.connections.add(connection)
+        if len(self.connections) > self.max_connections and not self._evict():
+            connection.reject_and_close(SERVICE_UNAVAILABLE)
+            return
+        self.set_group(connection, self.awaiting_first_byte)
+
+    def _evict(self) -> bool:
+        """Close one connection in favour of a new one, and return whether one could be closed.
+
+        A lingering connection whose last response is fully written goes first: otherwise the connections of
+        many rejected clients, each of which lingers for a while, would use up all file descriptors. Next come
+        connections that have sent nothing, or only part of a request, for some time, then the idle ones, and
+        last new ones that have sent nothing.
+        """
+        flushed = next((c for c in self.lingering if not c.transport.get_write_buffer_size()), None)
+        if flushed is not None:
+            self.set_group(flushed, None)
+            flushed.transport.abort()
+            return True
+        evictable_before_ms = self.clock.now() - MIN_EVICTION_AGE_MS
+        for group in (self.awaiting_first_byte, self.receiving):
+            first = next(iter(group), None)
+            if first is not None and first.group_entered_ms < evictable_before_ms:
+                first.close()
+                return True
+        first = next(iter(self.idle), None) or next(iter(self.awaiting_first_byte), None)
+        if first is not None:
+            first.close()
+        return first is not None
+
+    def set_group(self, connection: ClientConnection, group: dict[ClientConnection, None] | None) -> None:
+        """Move the connection to a group, or out of its group if `group` is None."""
+        if connection.group is not None:
+            connection.group.pop(connection, None)
+        connection.group = group
+        if group is not None:
+            group[connection] = None
+            connection.group_entered_ms = self.clock.now()
+
+    def register_waiting(self, connection: ClientConnection) -> None:
+        """Put a connection that waits for the rest of a request, or for the next one, into its group."""
+        group = self.idle if connection.reader.idle else self.receiving
+        if connection.group is not group:
+            self.set_group(connection, group)
+
+    def connection_closed(self, connection: ClientConnection) -> None:
+        """Remove a closed connection."""
+        self.connections.discard(connection)
+        self._notify_if_all_closed()
+
+    def client_disconnected(self, request: http1.Request) -> None:
+        """Drop the request of a client that has disconnected."""
+        self.driver.client_disconnected(request)
+
+    def _notify_if_all_closed(self) -> None:
+        if not self.connections and not self.accept_tasks and self.on_all_closed is not None:
+            self.on_all_closed()
+
+    def dispatch_request(self, request: http1.Request, connection: ClientConnection) -> None:
+        """Pass the request to the driver, unless the proxy sends the response itself."""
+        path = request.target.partition(b"?")[0]
+        if path == READINESS_PATH and request.method == b"GET":
+            connection.send_response(200 if self.ready() else SERVICE_UNAVAILABLE)
+        elif path != API_PATH and not path.startswith(API_PATH + b"/"):
+            connection.send_response(404)
+        elif self.driver.validation_error(request) is not None:
+            connection.reject_and_close(400)
+        elif self.refusing_requests or self.driver.at_capacity():
+            # The request does not reach the balancer, so no backend has executed it.
+            connection.send_response(SERVICE_UNAVAILABLE)
+        elif not self.driver.accept_request(request, connection):
+            connection.send_response(409)
+
+    def ready(self) -> bool:
+        """Whether the readiness endpoint reports that clients may send requests."""
+        return self.server is not None and not self.draining and self.can_serve()
+
+    def drain(self) -> None:
+        """Start draining: each response from now on closes its connection, and idle connections close now."""
+        self.draining = True
+        for connection in list(self.idle):
+            connection.close()
+
+    def close_idle(self) -> None:
+        """Close the idle connections, and those on which nothing has been received."""
+        for connection in [*self.awaiting_first_byte, *self.idle]:
+            connection.close()
+
+    def stop_listening(self, on_all_closed: Callable[[], None] | None = None) -> None:
+        """Close the listener; `on_all_closed` is called once the last connection is closed.
+
+        Connections in the accept queue are accepted first. Otherwise closing the listener would reset them
+        and lose requests that the kernel has already received. The queue holds connections if the event loop
+        is late, because the timer that closes the listener may then run before the listener's events.
+        """
+        self.on_all_closed = on_all_closed
+        if self.server is not None and self.listener is not None and self.server.is_serving():
+            while (client_socket := self._accept_next(self.listener)) is not None:
+                task = self.loop.create_task(
+                    self.loop.connect_accepted_socket(lambda: ClientConnection(self), client_socket))
+                self.accept_tasks.add(task)
+                task.add_done_callback(self._accept_done)
+            self.server.close()
+        self._notify_if_all_closed()
+
+    @staticmethod
+    def _accept_next(listener: socket.socket) -> socket.socket | None:
+        try:
+            client_socket, _ = listener.accept()
+        except OSError:  # the queue is empty, or no file descriptor is available
+            return None
+        client_socket.setblocking(False)
+        return client_socket
+
+    def _accept_done(self, task: asyncio.Task[object]) -> None:
+        self.accept_tasks.discard(task)
+        self._notify_if_all_closed()
+
+    def has_unwritten_data(self) -> bool:
+        """Whether part of a response is not written to its socket yet."""
+        return any(c.transport.get_write_buffer_size() for c in self.connections)
+
+    def _sweep(self) -> None:
+        """Close the connections that have timed out.
+
+        Otherwise clients that send no request, or never complete one, would keep file descriptors in use.
+        """
+        now, over_half_used = self.clock.now(), len(self.connections) * 2 > self.max_connections
+        self._close_expired(self.awaiting_first_byte, now - FIRST_BYTE_TIMEOUT_MS)
+        self._close_expired(
+            self.idle, now - (REDUCED_IDLE_TIMEOUT_MS if over_half_used else IDLE_TIMEOUT_MS))
+        while self.receiving and (
+                first := next(iter(self.receiving))).group_entered_ms <= now - REQUEST_TIMEOUT_MS:
+            first.reject_and_close(408)
+        self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+
+    def _close_expired(self, group: dict[ClientConnection, None], cutoff_ms: float) -> None:
+        while group and (first := next(iter(group))).group_entered_ms <= cutoff_ms:
+            first.close()
--- a/tests/test_downstream.py
+++ b/tests/test_frontend.py
@@ -1,6 +1,6 @@
 """Connections from clients over real sockets: the proxy's own responses, bad input, limits and draining.
 
-`Frontend`, in the module `downstream`, accepts these connections and holds them.
+`Frontend` accepts these connections and holds them.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 import pytest
 
 from honeywharf import interface as api
-from honeywharf.net import downstream, http1, message_readers
+from honeywharf.net import client_connection, frontend, http1, message_readers
 from tests.proxy_harness import (
     Backend,
     Client,
@@ -110,7 +110,7 @@
     run_test(main())
 
 
-@pytest.mark.parametrize("request_count", [downstream.MAX_PIPELINED_REQUESTS + 1, 400])
+@pytest.mark.parametrize("request_count", [client_connection.MAX_PIPELINED_REQUESTS + 1, 400])
 def test_excess_pipelining_gets_one_response_and_closes_the_connection(request_count: int) -> None:
     async def main() -> None:
         backend = await Backend().start()
@@ -176,8 +176,8 @@
 @pytest.mark.parametrize("sent", [b"", b"POST /api HTTP/1.1\r\nContent-Le", b"GET /none HTTP/1.1\r\n\r\n"])
 def test_a_connection_without_an_open_request_times_out(sent: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
     for name in ("FIRST_BYTE_TIMEOUT_MS", "IDLE_TIMEOUT_MS", "REQUEST_TIMEOUT_MS"):
-        monkeypatch.setattr(downstream, name, 50.0)
-    monkeypatch.setattr(downstream, "SWEEP_INTERVAL_S", 0.02)
+        monkeypatch.setattr(frontend, name, 50.0)
+    monkeypatch.setattr(frontend, "SWEEP_INTERVAL_S", 0.02)
 
     async def main() -> None:
         async with synced_proxy([]) as harness:
@@ -275,7 +275,7 @@
 
     Once all connections have an open request, a new client is rejected.
     """
-    monkeypatch.setattr(downstream, "MIN_EVICTION_AGE_MS", 0.0)
+    monkeypatch.setattr(frontend, "MIN_EVICTION_AGE_MS", 0.0)
 
     async def main() -> None:
         backend = await Backend().start()
@@ -316,7 +316,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Lingering connections are evicted first, because many of them would use up all file descriptors."""
-    monkeypatch.setattr(downstream, "LINGER_TIMEOUT_S", 60.0)
+    monkeypatch.setattr(client_connection, "LINGER_TIMEOUT_S", 60.0)
 
     async def main() -> None:
         backend = await Backend().start()
@@ -341,8 +341,8 @@
 
 
 def test_an_incomplete_request_times_out_with_a_408(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(downstream, "REQUEST_TIMEOUT_MS", 50.0)
-    monkeypatch.setattr(downstream, "SWEEP_INTERVAL_S", 0.02)
+    monkeypatch.setattr(frontend, "REQUEST_TIMEOUT_MS", 50.0)
+    monkeypatch.setattr(frontend, "SWEEP_INTERVAL_S", 0.02)
 
     async def main() -> None:
         backend = await Backend().start()
--- a/tests/test_slow_start_across_proxies.py
+++ b/tests/test_slow_start_across_proxies.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from honeywharf.net import downstream
+from honeywharf.net import frontend
 from honeywharf.net.clock import Clock
 from honeywharf.policy import list_freshness
 from tests.proxy_harness import (
@@ -58,7 +58,7 @@
     # stay open.
     monkeypatch.setattr(list_freshness, "MAX_AGE_MS", 1e9)
     for name in ("FIRST_BYTE_TIMEOUT_MS", "IDLE_TIMEOUT_MS", "REDUCED_IDLE_TIMEOUT_MS"):
-        monkeypatch.setattr(downstream, name, 1e9)
+        monkeypatch.setattr(frontend, name, 1e9)
 
     async def main() -> None:
         rng, clock = random.Random(3), ManualClock()
