End calls that a connection cuts off in one place

The outcome of such a call was worked out at its EOF and at its loss. Tests of connections, slow connects, clients that leave and discovery pass (149).

--- a/honeywharf/net/backend.py
+++ b/honeywharf/net/backend.py
@@ -234,19 +234,23 @@
     def _finish_call_at_eof(self) -> None:
         """End the call: the EOF completes a response without a length, and cuts off any other one."""
         response = None if self.has_unwritten_data else self.reader.end_of_input()
-        if response is not None:
+        if response is None:
+            self._cut_off_call("calls ended by eof")
+        else:
             self.pool.counts["responses ended by eof"] += 1
             self._finish_call(outcome_of_response(response), response)
-            return
-        self.pool.counts["calls ended by eof"] += 1
-        self._finish_call(Outcome.CONNECT_FAILED if self.has_unwritten_data else Outcome.RESET, None)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the call, because the connection was lost."""
-        if not self.closed:
-            if self.call is not None:
-                self.pool.counts["calls ended by reset"] += 1
-            self._finish_call(Outcome.CONNECT_FAILED if self.has_unwritten_data else Outcome.RESET, None)
+        if self.call is not None:
+            self._cut_off_call("calls ended by reset")
+        elif not self.closed:
+            self.close()
+
+    def _cut_off_call(self, counter: str) -> None:
+        """End the call, because the connection has ended before the request or the response was whole."""
+        self.pool.counts[counter] += 1
+        self._finish_call(Outcome.CONNECT_FAILED if self.has_unwritten_data else Outcome.RESET, None)
 
     def _finish_call(
         self, outcome: api.Outcome, response: http1.Response | None, *, reusable: bool = False,
