Parse what follows an upgrade offer without copying the input each time

Each offer in a read copied the rest of it, so 5,140 offers in one read of 256 KiB copied some 640 MB (worked out, not measured).

--- a/honeywharf/net/message_readers.py
+++ b/honeywharf/net/message_readers.py
@@ -142,13 +142,14 @@
         The parser ends a request with such an offer at the end of its head, as if its body were data of the
         other protocol, and parses nothing after it.
         """
+        unread: bytes | memoryview = data
         while True:
             try:
-                self.parser.feed_data(data)
+                self.parser.feed_data(unread)
                 return
             except httptools.HttpParserUpgrade as upgrade:
                 offset: int = upgrade.args[0]
-                data = data[offset:]
+                unread = memoryview(unread)[offset:]
                 self._replace_parser()
 
     def _replace_parser(self) -> None:
