Review case 8: a slow agent is taken for one that is down, and the list is kept

Cause: where lists are pushed, DiscoveryClient._on_expiry_due confirms an expired list as current if the call in flight has had no answer for 250 ms. Change: the case with its script. Nothing is fixed.

--- /dev/null
+++ b/review/8/case.py
@@ -0,0 +1,16 @@
+"""Where lists are pushed: an agent that is slow to answer is taken for one that learns nothing."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+HERE = Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent))
+
+import crowd  # noqa: E402
+import peers  # noqa: E402
+import sites  # noqa: E402
+
+sys.exit(peers.run_case(HERE, lambda folder, record: crowd.crowded(
+    folder, record, sites.push_market(1), "reset")))
