--- a/review/peers.py
+++ b/review/peers.py
@@ -191,6 +191,7 @@
         self.news = asyncio.Event()
         self.turn: Callable[[], Awaitable[str | None]] | None = None
         self.calls = 0
+        self.written: list[tuple[float, int]] = []  # the times and versions of the answers
 
     def set(self, *entries: dict[str, Any]) -> None:
         """Change entries of the list, as one new version."""
@@ -230,6 +231,7 @@
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(self.news.wait(), int(query.get("wait_ms", "0")) / 1000.0)
             writer.write(response(200, self.body(after)))
+            self.written.append((self.record.now(), self.generation))
             self.record.add(f"discovery answered call {number} with version {self.generation}")
 
 
