--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Where lists are pushed: an agent that is slow to answer is taken for one that learns nothing."""
+"""Where discovery is asked: a 503 to a call that waited too long is taken for news that nothing changed."""
 
 from __future__ import annotations
 
@@ -13,4 +13,4 @@
 import sites  # noqa: E402
 
 sys.exit(peers.run_case(HERE, lambda folder, record: crowd.crowded(
-    folder, record, sites.push_market(1), "reset")))
+    folder, record, sites.targ_krakow(1), "503")))
--- a/review/crowd.py
+++ b/review/crowd.py
@@ -1,4 +1,4 @@
-"""Discovery has too many callers for some seconds, and a server begins to drain meanwhile (cases 8 and 9)."""
+"""Discovery has too many callers for some seconds, and a server begins to drain then (cases 9 and 10)."""
 
 from __future__ import annotations
 
