Review: a script that is ended exits with 2, and case 7 depends less on the machine

Cause: an error, or SIGTERM to a script, ended it with 1, which reads as a broken rule. Case 7 used tries of 0.6 and 0.8 s alone, so that a machine a few times as fast could have held the rule. Change: peers.py turns every error into 2; case 7 also sends requests with 0.2 s left. Each of the five scripts, ended by SIGTERM after 4 s, exits with 2 and leaves no process.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -17,6 +17,9 @@
 SENT_BYTES = 64 * 1024  # of each; the pages have peers with 60 MB to send
 START_S, AFTER_S = 2.0, 10.0
 RATE_PER_S = 40.0
+# Besides tries of the usual length: STANDING, "Beyond this bench", has "requests with very little time left".
+# They show the fault also on a machine that is several times as fast.
+SHORT = ("platnosc", 200.0)
 # Up to half a second after its time, an answer only earns nothing; later, or never, the request is lost.
 LATE_S = 0.5
 MOST_LAG_S = 0.2  # if the stand-ins themselves are later than this, the case says nothing
@@ -37,7 +40,7 @@
     lags: list[float] = []
     lag = asyncio.create_task(watch_lag(record, lags))
     sending = asyncio.create_task(peers.send_steadily(
-        [clients], site.classes(0.4), RATE_PER_S, record.now() + START_S + AFTER_S, record))
+        [clients], [*site.classes(0.4), SHORT], RATE_PER_S, record.now() + START_S + AFTER_S, record))
     bad: subprocess.Popen[bytes] | None = None
     try:
         await asyncio.sleep(START_S)
--- a/review/peers.py
+++ b/review/peers.py
@@ -469,7 +469,7 @@
     with tempfile.TemporaryDirectory() as directory:
         try:
             broken = asyncio.run(asyncio.wait_for(_run(Path(directory), record, case), longest_s))
-        except (CouldNotRunError, OSError, TimeoutError) as error:
+        except BaseException as error:  # also when the script is ended from outside: nothing was judged
             record.say(f"the case could not run: {type(error).__name__}: {error}")
             return NOT_RUN
         finally:
