Limit the age of a server in slow start by what the balancer has seen itself

Seen: the wall clock is set back by an hour, then six servers restart.

Cause: HostSet took the proxy's clock less the stated start for the age of a server. After a step the two are of different clocks: a server that had just started counted as an hour old. Set forward, it counted as cold for an hour. That the list told of the start just now was not used.

Change: policy/slow_start.py turns a stated start into a time on the balancer's clock once, when it is first listed. A start that the list before lacked was listed after that list was known to be current (EndpointsListed.previous_list_current_ms, from the freshness of the list), so a server is no older than that, and 4 s at the most; one in the future counts from now. From then on only the balancer's monotonic clock runs. A server that leaves the list and returns keeps its age. Not covered: the first list of a process, for which nothing but the stated start is known.

--- a/honeywharf/interface.py
+++ b/honeywharf/interface.py
@@ -99,7 +99,8 @@
     """One server, as discovery lists it.
 
     `cell`: the part of the zone that it belongs to; DedupeScope.CELL refers to it.
-    `started_ms`: when the process started, or None if that was long ago.
+    `started_ms`: when the process started, in Unix time as discovery states it, or None if that was long
+    ago. The wall clock may have been stepped since.
     `weight`: the capacity relative to other endpoints; `Settings.weight_source` says how it is determined.
     `machine_type`: one of `Settings.machine_types`.
     """
@@ -343,12 +344,15 @@
     `generation`: the version of the list, as discovery numbers it.
     `expires_at_ms`: when the list expires. From then on the balancer sends nothing until another event gives
     a later time.
+    `previous_list_current_ms`: the latest time at which discovery is known to have had nothing newer than the
+    list before this one, or -inf if that is not known. What is new in this list was listed after that.
     """
 
     kind: ListKind
     endpoints: tuple[Endpoint, ...] = ()
     generation: int = 0
     expires_at_ms: float = math.inf
+    previous_list_current_ms: float = -math.inf
 
     def summary(self) -> str:
         """Describe the list for the log: its kind, its generation and the number of endpoints by state."""
--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -350,9 +350,11 @@
         event = self.directory.apply(orjson.loads(response.body), api.ListKind.FULL if poll.is_full else None)
         unchanged = (
             event.kind is api.ListKind.CHANGES and not event.endpoints and event.generation == generation)
+        previous_list_current_ms = self.freshness.last_known_up_to_date_ms
         self.freshness.record_response(
             poll.sent_ms, poll.wait_ms, unchanged=unchanged, now_ms=self.clock.now())
-        return replace(event, expires_at_ms=self.freshness.expires_ms)
+        return replace(
+            event, expires_at_ms=self.freshness.expires_ms, previous_list_current_ms=previous_list_current_ms)
 
     def _watch_ended(self, poll: Poll) -> None:
         """Handle a 503 that ends an active watch.
--- a/honeywharf/policy/host_set.py
+++ b/honeywharf/policy/host_set.py
@@ -8,6 +8,7 @@
 from honeywharf import interface as api
 from honeywharf.policy.concurrency import ZoneLimiter
 from honeywharf.policy.server import Server
+from honeywharf.policy.slow_start import StartTimes, warm_fraction
 
 #: Interval between recomputations of traffic fractions, priority levels and zone capacities. Failures that
 #: the balancer must react to last much longer.
@@ -70,6 +71,7 @@
         self.zones: dict[str, ZoneLimiter] = {}
         self.usable: list[Server] = []
         self.priority_levels: list[list[Server]] = [[], [], []]
+        self.start_times = StartTimes()
         self.refresh_due_ms = 0.0
         aim = max(c.aim_ms for c in settings.classes)
         # The minimum rate is one response per aim, summed over all balancers.
@@ -82,10 +84,11 @@
             for removed_id in [server_id for server_id in self.servers if server_id not in listed_ids]:
                 del self.servers[removed_id]
         for endpoint in event.endpoints:
-            self._update_server(endpoint, now_ms)
+            self._update_server(endpoint, now_ms, event.previous_list_current_ms)
         self.refresh(now_ms)
 
-    def _update_server(self, endpoint: api.Endpoint, now_ms: float) -> None:
+    def _update_server(
+            self, endpoint: api.Endpoint, now_ms: float, previous_list_current_ms: float) -> None:
         self.zones.setdefault(endpoint.zone, ZoneLimiter())
         current = self.servers.get(endpoint.id)
         if endpoint.state is api.EndpointState.GONE:
@@ -93,7 +96,9 @@
         elif current is None or current.endpoint.started_ms != endpoint.started_ms:
             # A restarted process starts without the health record of its predecessor.
             server = self.servers[endpoint.id] = Server(endpoint)
-            if self._warm_fraction(endpoint, now_ms) < 1.0:
+            server.running_since_ms = self.start_times.running_since_ms(
+                endpoint, now_ms, previous_list_current_ms)
+            if self._warm_fraction(server, now_ms) < 1.0:
                 self.set_next_warm_up_call_time(server, 0.0, 1.0, now_ms)
         else:
             current.endpoint = endpoint
@@ -108,15 +113,15 @@
         self.refresh_due_ms = now_ms + REFRESH_INTERVAL_MS
         ready_servers = [s for s in self.servers.values() if s.endpoint.state is api.EndpointState.READY]
         for server in ready_servers:
-            if server.endpoint.started_ms is None and server.relative_latency <= FULL_TRAFFIC_LATENCY:
+            if server.running_since_ms is None and server.relative_latency <= FULL_TRAFFIC_LATENCY:
                 # This shortcut saves time, because a list may hold thousands of servers, and it applies to
                 # most of them. The code below would give the same result.
                 server.warming_up, server.traffic_fraction = False, 1.0
                 continue
             latency_fraction = min(1.0, FULL_TRAFFIC_LATENCY / server.relative_latency) ** 2
-            warm_fraction = self._warm_fraction(server.endpoint, now_ms)
-            server.warming_up = warm_fraction < 1.0
-            server.traffic_fraction = warm_fraction * max(MIN_SLOW_SERVER_FRACTION, latency_fraction)
+            warm_share = self._warm_fraction(server, now_ms)
+            server.warming_up = warm_share < 1.0
+            server.traffic_fraction = warm_share * max(MIN_SLOW_SERVER_FRACTION, latency_fraction)
         # If all ready servers are ejected, all of them are usable: ejection must not stop the traffic.
         self.usable = [s for s in ready_servers if s.ejected_until_ms <= now_ms] or ready_servers
         self.response_rate.update(sum(s.traffic_fraction for s in self.usable) or 1.0, now_ms)
@@ -150,17 +155,8 @@
             zone.capacity += server.capacity
             zone.ejection_margin += 3
 
-    def _warm_fraction(self, endpoint: api.Endpoint, now_ms: float) -> float:
-        """The fraction of its full capacity that a server is sure to have, by the time since its start.
-
-        The server gets at most the same fraction of an equal share of the calls. Otherwise it would be
-        overloaded while it is cold.
-        """
-        rules = self.settings.rules
-        if endpoint.started_ms is None or rules.warm_up_ms <= 0:
-            return 1.0
-        age = max(0.0, now_ms - endpoint.started_ms) / rules.warm_up_ms
-        return min(1.0, rules.slow_start_share + (1.0 - rules.slow_start_share) * age)
+    def _warm_fraction(self, server: Server, now_ms: float) -> float:
+        return warm_fraction(self.settings.rules, server.running_since_ms, now_ms)
 
     def set_next_warm_up_call_time(
             self, server: Server, min_intervals: float, max_intervals: float, now_ms: float) -> None:
@@ -172,7 +168,7 @@
         """
         rate_fraction = (
             self.settings.rules.cold_overload_factor / SLOW_START_SAFETY_FACTOR
-            * self._warm_fraction(server.endpoint, now_ms))
+            * self._warm_fraction(server, now_ms))
         intervals = self.random.uniform(min_intervals, max_intervals)
         server.next_warm_up_call_ms = now_ms + intervals / (rate_fraction * self.response_rate.peak)
 
--- a/honeywharf/policy/server.py
+++ b/honeywharf/policy/server.py
@@ -16,6 +16,7 @@
     """The state that this balancer keeps for one listed endpoint."""
 
     endpoint: api.Endpoint
+    running_since_ms: float | None = None  # on the balancer's clock; None means long ago
     # The calls in flight from the oldest to the newest, without the hung ones.
     active_calls: dict[Attempt, None] = field(default_factory=dict)
     # By class name: until when the server gets no calls of that class.
