Parse one request of a client at a time, in turns of limited length

Seen: 300 clients send 64 KiB of short requests each and go.

Cause: all that was read of a connection, up to 256 KB, was parsed at once into request objects (3,640 from 64 KiB), whether or not they could be served and whether or not the client was still there, and every connection with input took its turn before any timer, answer or attempt. Ruled out: servers and stand-ins (idle, 0.00 s late), accepts (300 connections cost some 10 ms), the balancer (none of these requests reaches it). The limit on pipelining came after the work, and told one 400 for all requests at once, also for one that had run.

Change: a connection reads at most 8 KiB at once (BufferedProtocol) and parses up to the end of one request; pieces end with the head or body, so no limit depends on the cut, and the bytes of an incomplete head are no longer counted twice. Nothing further is parsed, and reading pauses, until that request is answered and the answer is written; a client that has left by then has its input dropped. Input is parsed for 5 ms in an iteration of the event loop (input_scheduler.py); connections take turns, and long messages wait for short ones. A request that waited behind another counts as arrived when reading was paused. A connection whose input waits for its turn gets 503 where it has to be closed. During a drain, what was read is served.

--- a/honeywharf/net/client_connection.py
+++ b/honeywharf/net/client_connection.py
@@ -1,19 +1,19 @@
-"""A connection from a client: reading its requests, and writing the responses in their order."""
+"""A connection from a client: reading its requests one at a time, and writing their responses."""
 
 from __future__ import annotations
 
 import asyncio
 import select
-from collections import deque
 from typing import Protocol, cast
 
 from honeywharf.net import http1, message_readers
 from honeywharf.net.clock import Clock
+from honeywharf.net.input_scheduler import InputScheduler
 
-#: A client that pipelines more requests than this is rejected. Clients normally send one request at a time.
-MAX_PIPELINED_REQUESTS = 8
-#: The maximum total body size of two or more pipelined requests.
-MAX_PIPELINED_BYTES = message_readers.MAX_REQUEST_BODY_BYTES
+#: How much is read from a connection at once. The rest stays in the operating system, which makes the client
+#: wait once it holds enough.
+READ_BUFFER_BYTES = 8 * 1024
+SERVICE_UNAVAILABLE = 503
 #: A connection stays open for this time after its last response. Closing a socket with unread input resets
 #: the connection, and the client may lose the response.
 LINGER_TIMEOUT_S = 0.5
@@ -29,7 +29,9 @@
 
     loop: asyncio.AbstractEventLoop
     clock: Clock
-    draining: bool  # each response closes its connection
+    draining: bool  # the last response closes its connection
+    read_buffer: memoryview  # all connections read into it, one after another
+    input_scheduler: InputScheduler
     lingering: dict[ClientConnection, None]  # the connections whose last response has been sent
 
     def connection_opened(self, connection: ClientConnection) -> None:
@@ -51,22 +53,30 @@
         """Drop the request of a client that has disconnected."""
 
 
-class ClientConnection(asyncio.Protocol):
-    """A client's connection. Its requests are served one at a time, in the order of their arrival."""
+class ClientConnection(asyncio.BufferedProtocol):
+    """A client's connection. Its requests are read and served one at a time.
+
+    While a request is served, or its response is not fully written to the socket, no further request is
+    parsed, and little input is read. So a client holds no more memory than one request and one read, however
+    much it sends, and nothing is begun for a request whose client has left before its turn.
+    """
 
     __slots__ = (
-        "closing", "current_request", "descriptor", "discarded_bytes", "group",
-        "group_entered_ms", "linger_timer", "owner", "parse_error", "pipelined", "pipelined_bytes", "reader",
-        "transport",
+        "closing", "current_request", "descriptor", "discarded_bytes", "group", "group_entered_ms",
+        "has_unwritten_data", "input_arrived_ms", "linger_timer", "owner", "queued", "reader",
+        "reading_paused_ms", "transport",
     )
 
     def __init__(self, owner: ConnectionOwner) -> None:
         self.owner = owner
         self.reader = message_readers.RequestReader(self._send_continue)
-        self.current_request: http1.Request | None = None
-        self.pipelined: deque[http1.Request] = deque()
-        self.pipelined_bytes = 0
-        self.parse_error: http1.MalformedMessageError | None = None
+        self.current_request: http1.Request | None = None  # the one that is being served
+        self.queued = False  # waits for its turn to parse its input
+        self.has_unwritten_data = False  # part of a response is not written to the socket yet
+        # The earliest time at which the input that was read last can have arrived.
+        self.input_arrived_ms = 0.0
+        # Since when nothing has been read, until all that has arrived meanwhile is read.
+        self.reading_paused_ms: float | None = None
         self.closing = False  # once set, no more requests are read, and no responses sent
         self.discarded_bytes = 0  # input received while closing
         self.group: dict[ClientConnection, None] | None = None  # the owner's group that it is in
@@ -78,33 +88,105 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with its owner."""
         self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=0)  # `pause_writing` is called if anything is unwritten
         self.descriptor = self.transport.get_extra_info("socket").fileno()
         self.owner.connection_opened(self)
 
+    def pause_writing(self) -> None:
+        """Record that part of a response is not written to the socket yet."""
+        self.has_unwritten_data = True
+
+    def resume_writing(self) -> None:
+        """Record that all responses are written to the socket, and continue with the next request."""
+        self.has_unwritten_data = False
+        self._continue()
+
     def _send_continue(self) -> None:
         self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def data_received(self, data: bytes) -> None:
-        """Parse requests; a request waits until the response to the previous one has been sent."""
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        return self.owner.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take the input that was read, and parse it if it is this connection's turn."""
         if self.closing:
-            self._discard(len(data))
+            self._discard(nbytes)
+            return
+        self._set_arrival_time(nbytes)
+        self.reader.receive(bytes(self.owner.read_buffer[:nbytes]))
+        if self._is_busy() or self.queued:
+            self._pause_reading()
+        elif self.owner.input_scheduler.may_process_now(self):
+            self.owner.input_scheduler.process(self)
+        else:
+            self._pause_reading()
+            self.owner.register_waiting(self)
+            self._enqueue()
+
+    def _set_arrival_time(self, size: int) -> None:
+        """Set when the input that was just read arrived: not before reading was paused, if it was.
+
+        The client's time for a request runs while the request waits in the operating system.
+        """
+        if self.reading_paused_ms is None:
+            self.input_arrived_ms = self.owner.clock.now()
             return
-        if self.parse_error is not None:
+        self.input_arrived_ms = self.reading_paused_ms
+        if size < READ_BUFFER_BYTES:  # nothing more waits
+            self.reading_paused_ms = None
+
+    def _is_busy(self) -> bool:
+        return self.current_request is not None or self.has_unwritten_data
+
+    def _pause_reading(self) -> None:
+        if self.transport.is_reading():
+            self.transport.pause_reading()
+            if self.reading_paused_ms is None:
+                self.reading_paused_ms = self.owner.clock.now()
+
+    def _resume_reading(self) -> None:
+        if not self.transport.is_reading() and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def _enqueue(self) -> None:
+        if not self.queued:
+            self.queued = True
+            self.owner.input_scheduler.enqueue(self)
+
+    def _continue(self) -> None:
+        """Go on with the input that was read while the connection was busy."""
+        if not self.closing and not self._is_busy() and (
+                self.reader.has_input or not self.transport.is_reading()):
+            self._enqueue()
+
+    def in_long_message(self) -> bool:
+        """Return whether more than one read of the current message has been parsed."""
+        return self.reader.message_bytes >= READ_BUFFER_BYTES
+
+    def process_input(self) -> None:
+        """Dispatch the next request; reject bad input, and read on if the request is incomplete."""
+        self.queued = False
+        if self.closing or self._is_busy():
             return
-        requests = self.reader.feed(data)
-        self.parse_error = self.reader.error
-        if requests:
-            now = self.owner.clock.now()
-            for request in requests:
-                request.received_ms = now
-                self.pipelined.append(request)
-                self.pipelined_bytes += len(request.body)
-            if len(self.pipelined) > MAX_PIPELINED_REQUESTS or (
-                    len(self.pipelined) > 1 and self.pipelined_bytes > MAX_PIPELINED_BYTES):
-                self._reject_pipeline()
-                return
-        if self.current_request is None:
-            self._process_next()
+        if not self.transport.is_reading() and self.disconnected():
+            return  # The end of the input cannot be read yet: it follows input that still waits.
+        request = self.reader.next_request()
+        if request is not None:
+            self._dispatch(request)
+        elif self.reader.error is not None:
+            self.reject_and_close(self.reader.error.status)
+        else:
+            self.owner.register_waiting(self)
+            self._resume_reading()
+
+    def _dispatch(self, request: http1.Request) -> None:
+        request.received_ms = self.input_arrived_ms
+        self.current_request = request
+        self.owner.set_group(self, None)
+        if self.reader.has_input:
+            self._pause_reading()
+        self.owner.dispatch_request(request, self)
 
     def _discard(self, size: int) -> None:
         """Discard input that arrives after the last response, up to a limit.
@@ -116,27 +198,6 @@
         if self.discarded_bytes > MAX_DISCARDED_BYTES and self.transport.is_reading():
             self.transport.pause_reading()
 
-    def _reject_pipeline(self) -> None:
-        """Reject a client that pipelines too much.
-
-        It gets a single 400 on this connection, and its open requests are dropped.
-        """
-        request = self.current_request
-        self.reject_and_close(400)
-        if request is not None:
-            self.owner.client_disconnected(request)
-
-    def _process_next(self) -> None:
-        if self.pipelined:
-            self.current_request = self.pipelined.popleft()
-            self.pipelined_bytes -= len(self.current_request.body)
-            self.owner.set_group(self, None)
-            self.owner.dispatch_request(self.current_request, self)
-        elif self.parse_error is not None:
-            self.reject_and_close(self.parse_error.status)
-        else:
-            self.owner.register_waiting(self)
-
     def send_response(
         self, status: int, body: bytes = b"", *, retry_after_ms: float = 0.0, content_type: bytes = b"",
     ) -> None:
@@ -144,23 +205,19 @@
         request, self.current_request = self.current_request, None
         if request is None or self.closing:
             return
-        keep_alive = request.keep_alive and not self.owner.draining
+        # During a drain, a request that has been read already is still served.
+        keep_alive = request.keep_alive and (not self.owner.draining or self.reader.has_input)
         self.transport.write(http1.format_response(
             status, body, keep_alive=keep_alive, retry_after_ms=retry_after_ms, content_type=content_type))
         if not keep_alive:
             self._linger()
-        elif self.pipelined or self.parse_error is not None:
-            self.owner.loop.call_soon(self._resume)
-        else:
-            self.owner.register_waiting(self)
-
-    def _resume(self) -> None:
-        if self.current_request is None and not self.closing:
-            self._process_next()
+            return
+        self.owner.register_waiting(self)
+        self._continue()
 
     def reject_and_close(self, status: int) -> None:
         """Write an error response, read no more requests and close the connection."""
-        if self.closing:
+        if self.closing or self.transport.is_closing():
             return
         self.transport.write(http1.format_response(status, keep_alive=False))
         self._linger()
@@ -186,13 +243,19 @@
             self.transport.abort()
 
     def _begin_closing(self) -> None:
-        self.closing, self.current_request, self.pipelined_bytes = True, None, 0
-        self.pipelined.clear()
+        self.closing, self.current_request = True, None
+        self.reader.discard_input()
         self.owner.set_group(self, None)
+        self._resume_reading()
 
     def close(self) -> None:
-        """Close a connection without a complete request."""
-        if self.transport.get_write_buffer_size():  # the last response is not fully written to the socket
+        """Close a connection without a complete request.
+
+        Input that has not been parsed yet may hold one, so it gets an error response.
+        """
+        if self.reader.has_input:
+            self.reject_and_close(SERVICE_UNAVAILABLE)
+        elif self.transport.get_write_buffer_size():  # the last response is not fully written to the socket
             self._linger()
         else:
             self._begin_closing()
@@ -201,13 +264,23 @@
     def disconnected(self) -> bool:
         """Whether the client has closed the connection or its sending side.
 
-        This asks the operating system, because the event loop may not have noticed yet.
+        This asks the operating system, because the event loop may not have noticed yet. It does not notice at
+        all while reading is paused, so the connection is then dropped here.
         """
         if self.closing or self.transport.is_closing():
             return True
         poll = select.poll()
         poll.register(self.descriptor, select.POLLRDHUP)
-        return bool(poll.poll(0))
+        has_disconnected = bool(poll.poll(0))
+        if has_disconnected and not self.transport.is_reading():
+            self.owner.loop.call_soon(self._drop)
+        return has_disconnected
+
+    def _drop(self) -> None:
+        """Drop the client's requests and close the connection, because the client has disconnected."""
+        if not self.closing:
+            self._drop_requests()
+            self.transport.abort()
 
     def eof_received(self) -> bool:
         """Drop the client's requests: closing the connection, or only its sending side, cancels them.
@@ -219,7 +292,7 @@
         return False
 
     def _drop_requests(self) -> None:
-        """Drop the pipelined requests and the current one, if there is one without a response."""
+        """Drop the input and the current request, if there is one without a response."""
         request = self.current_request
         self._begin_closing()
         if request is not None:
--- a/honeywharf/net/frontend.py
+++ b/honeywharf/net/frontend.py
@@ -7,10 +7,11 @@
 from collections.abc import Callable
 
 from honeywharf.net import http1
-from honeywharf.net.client_connection import ClientConnection
+from honeywharf.net.client_connection import READ_BUFFER_BYTES, SERVICE_UNAVAILABLE, ClientConnection
 from honeywharf.net.clock import Clock
 from honeywharf.net.config import Address
-from honeywharf.net.driver import SERVICE_UNAVAILABLE, Driver
+from honeywharf.net.driver import Driver
+from honeywharf.net.input_scheduler import InputScheduler
 
 READINESS_PATH = b"/health/ready"
 API_PATH = b"/api"
@@ -37,6 +38,8 @@
     ) -> None:
         self.loop, self.clock, self.driver, self.max_connections = loop, clock, driver, max_connections
         self.can_serve = can_serve
+        self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
+        self.input_scheduler = InputScheduler(loop, clock)
         self.connections: set[ClientConnection] = set()
         # Each group holds connections without a complete request, in the order in which they entered it.
         self.awaiting_first_byte: dict[ClientConnection, None] = {}  # nothing has been received
@@ -144,7 +147,7 @@
         return self.server is not None and not self.draining and self.can_serve()
 
     def drain(self) -> None:
-        """Start draining: each response from now on closes its connection, and idle connections close now."""
+        """Start draining: connections close after their last response, and idle ones close now."""
         self.draining = True
         for connection in list(self.idle):
             connection.close()
--- a/honeywharf/net/message_readers.py
+++ b/honeywharf/net/message_readers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 
 import httptools
@@ -14,7 +15,8 @@
 # body to 64 KiB, but valid ones of 400 KB occur. A longer one than this counts as malformed. Many long ones
 # at once could exhaust the memory, so the pool limits what they hold together.
 MAX_RESPONSE_BODY_BYTES = 1024 * 1024
-MAX_HEAD_BYTES = 16 * 1024
+MAX_HEAD_BYTES = 16 * 1024  # with the blank lines before it
+BLANK_LINE = b"\r\n\r\n"  # ends each head and each chunked body
 MAX_INTERIM_RESPONSES = 8  # 1xx responses before one final response
 SUPPORTED_METHODS = frozenset((b"GET", b"POST", b"HEAD", b"PUT", b"DELETE", b"OPTIONS", b"PATCH"))
 NO_REQUEST = Request()  # the placeholder while no request is being read
@@ -23,13 +25,17 @@
 class MessageReader:
     """The base of both readers. It limits the size of head and body, whatever length a message declares.
 
-    The parser calls the methods `on_...` while it is fed.
+    The input is parsed in pieces, and a head ends with its piece. So neither the limits nor what is parsed
+    depend on how the input was cut. The parser calls the methods `on_...` while it is fed a piece.
     """
 
     def __init__(self, max_body_bytes: int) -> None:
         self.max_body_bytes = max_body_bytes
+        self.input, self.parsed_size = b"", 0  # what is being read, and how much of it has been parsed
+        self.last_parsed = b""  # the end of what has been parsed of the current message
         self.in_head = self.in_body = False
         self.head_bytes = 0
+        self.message_bytes = 0  # what has been parsed of the current message, with its framing
         # The size of the input that was framing or trailers alone, since the last part of the body.
         self.framing_bytes = 0
         self.has_progressed = False  # the input that is being parsed ended the head or has a part of the body
@@ -39,29 +45,36 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no message is incomplete."""
-        return not self.in_head and not self.in_body
+        """Whether no message is incomplete, and no input is left to parse."""
+        return not self.in_head and not self.in_body and not self.has_input
+
+    @property
+    def has_input(self) -> bool:
+        """Whether input is left to parse."""
+        return self.parsed_size < len(self.input)
+
+    def receive(self, data: bytes) -> None:
+        """Append input. It is not parsed yet."""
+        self.input, self.parsed_size = self.input[self.parsed_size:] + data, 0
+
+    def discard_input(self) -> None:
+        """Drop the input that is left to parse."""
+        self.input, self.parsed_size = b"", 0
 
     def on_message_begin(self) -> None:
         """Start a new message."""
-        self.in_head, self.head_bytes, self.body_buffer = True, 0, bytearray()
+        self.in_head, self.body_buffer = True, bytearray()
 
     def on_headers_complete(self) -> None:
         """Expect the body from now on."""
         self.in_head, self.in_body = False, True
         self.has_progressed, self.framing_bytes = True, 0
 
-    def _count_head_bytes(self, size: int) -> None:
-        self.head_bytes += size
-        if self.head_bytes > MAX_HEAD_BYTES:
-            raise MalformedMessageError(431, "the head is too large")
-
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Count a header field and store it. A trailer field, which follows the body, is only counted.
+        """Store a header field. A trailer field, which follows the body, is ignored.
 
         A recipient must not take a trailer field for a header (RFC 9110, section 6.5.1).
         """
-        self._count_head_bytes(len(name) + len(value) + 4)
         if self.in_head:
             self._store_header(name, value)
 
@@ -84,6 +97,7 @@
         """Delete the parser. It refers back to the reader, so both would wait for the garbage collector."""
         self.in_head = self.in_body = False
         self.body_buffer = bytearray()
+        self.discard_input()
         del self.parser
 
     def _take_body(self) -> bytes:
@@ -91,11 +105,50 @@
         body, self.body_buffer = bytes(self.body_buffer), bytearray()
         return body
 
+    def _message_ended(self) -> None:
+        self.in_head = self.in_body = False
+        self.head_bytes, self.message_bytes, self.last_parsed = 0, 0, b""
+
     def _feed_parser(self, data: bytes) -> None:
         raise NotImplementedError
 
+    def _body_piece_size(self) -> int:
+        """Return how much of the input to parse next, in a body."""
+        raise NotImplementedError
+
+    def _size_to_blank_line(self) -> int:
+        """Return the size of the input up to the end of the next blank line, or of all input without one."""
+        # The blank line may begin in what has been parsed already.
+        start = self.parsed_size
+        joint = self.last_parsed + self.input[start:start + len(BLANK_LINE) - 1]
+        position = joint.find(BLANK_LINE)
+        if position >= 0:
+            return position + len(BLANK_LINE) - len(self.last_parsed)
+        position = self.input.find(BLANK_LINE, start)
+        return (len(self.input) if position < 0 else position + len(BLANK_LINE)) - start
+
+    def _parse_piece(self) -> None:
+        """Parse the next piece of the input. It ends with the current head or body at the latest."""
+        was_in_body, self.has_progressed = self.in_body, False
+        if was_in_body:
+            size = self._body_piece_size()
+        else:
+            size = min(self._size_to_blank_line(), MAX_HEAD_BYTES - self.head_bytes)
+        piece = self.input[self.parsed_size:self.parsed_size + size]
+        self.parsed_size += len(piece)
+        if self.parsed_size == len(self.input):
+            self.discard_input()
+        self.last_parsed = (self.last_parsed + piece[1 - len(BLANK_LINE):])[1 - len(BLANK_LINE):]
+        self.message_bytes += len(piece)
+        if not was_in_body:
+            self.head_bytes += len(piece)
+        self._parse(piece)
+        if not self.in_body and self.head_bytes >= MAX_HEAD_BYTES:
+            raise MalformedMessageError(431, "the head is too large")
+        if was_in_body and self.in_body and not self.has_progressed:
+            self._count_framing_bytes(len(piece))
+
     def _parse(self, data: bytes) -> None:
-        self.has_progressed = False
         try:
             self._feed_parser(data)
         except httptools.HttpParserError as error:
@@ -104,18 +157,13 @@
             while cause is not None and not isinstance(cause, MalformedMessageError):
                 cause = cause.__cause__ or cause.__context__
             raise cause or MalformedMessageError(400, str(error)) from None
-        # The parser buffers an unfinished line and invokes no callback until the line ends, so the bytes of
-        # an endless line are counted here.
-        if self.in_head:
-            self._count_head_bytes(len(data))
-        elif self.in_body and not self.has_progressed:
-            self._count_framing_bytes(len(data))
 
 
 class RequestReader(MessageReader):
-    """Parses the bytes that one client sends into requests.
+    """Parses the bytes that one client sends into requests, one at a time.
 
-    `on_continue` is called for each request whose client waits for `100 Continue` before it sends the body.
+    No request is parsed before the one before it has been taken: it may never be served. `on_continue` is
+    called for each request whose client waits for `100 Continue` before it sends the body.
     """
 
     def __init__(self, on_continue: Callable[[], None]) -> None:
@@ -124,17 +172,29 @@
         self.parser: httptools.HttpRequestParser = httptools.HttpRequestParser(self)
         self.request = NO_REQUEST
         self.body_framing = b""  # the header line that announces a body of the current request
-        self.completed: list[Request] = []
+        self.content_length: int | None = None  # None if the current request declares none
+        self.completed: deque[Request] = deque()  # at most one, or a few that malformed line ends separate
         self.error: MalformedMessageError | None = None
 
-    def feed(self, data: bytes) -> list[Request]:
-        """Return the requests that these bytes complete. Sets `error` if what follows them is malformed."""
-        try:
-            self._parse(data)
-        except MalformedMessageError as error:
-            self.error = error
-        completed, self.completed = self.completed, []
-        return completed
+    @property
+    def has_input(self) -> bool:
+        """Whether input is left to parse, or a request to take."""
+        return super().has_input or bool(self.completed)
+
+    def next_request(self) -> Request | None:
+        """Return the next request, or None if it is incomplete. Sets `error` if it is malformed."""
+        while not self.completed and self.error is None and self.has_input:
+            try:
+                self._parse_piece()
+            except MalformedMessageError as error:
+                self.error = error
+                self.discard_input()
+        return self.completed.popleft() if self.completed else None
+
+    def _body_piece_size(self) -> int:
+        if self.content_length is None:
+            return self._size_to_blank_line()
+        return self.content_length - len(self.body_buffer)
 
     def _feed_parser(self, data: bytes) -> None:
         """Feed the parser, and ignore offers to upgrade the connection (RFC 9110, section 7.8).
@@ -166,11 +226,10 @@
     def on_message_begin(self) -> None:
         """Start a new request."""
         super().on_message_begin()
-        self.request, self.body_framing = Request(), b""
+        self.request, self.body_framing, self.content_length = Request(), b"", None
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target."""
-        self._count_head_bytes(len(url))
         self.request.target += url
 
     def _store_header(self, name: bytes, value: bytes) -> None:
@@ -183,6 +242,7 @@
             if content_length_exceeds(value, self.max_body_bytes):
                 raise MalformedMessageError(413, "the body is too large")
             if content_length_exceeds(value, 0):
+                self.content_length = int(value)
                 self.body_framing = b"Content-Length: %b\r\n" % value
         elif key == b"transfer-encoding":
             if value.strip().lower() != b"chunked":  # the parser accepts other codings
@@ -210,7 +270,8 @@
         if self.parser.should_upgrade() and self.body_framing:
             return
         # The reader of an idle connection keeps no request in memory.
-        request, self.request, self.in_body = self.request, NO_REQUEST, False
+        request, self.request = self.request, NO_REQUEST
+        self._message_ended()
         request.body = self._take_body()
         self.completed.append(request)
 
@@ -234,15 +295,23 @@
         the one request that was outstanding. Only the connection must not be used again.
         """
         self.completed = None
+        self.receive(data)
         try:
-            self._parse(data)
+            while self.completed is None and self.has_input:
+                self._parse_piece()
         except MalformedMessageError:
             if self.completed is None:
                 raise
             self.has_trailing_data = True
+        if self.has_input:
+            self.has_trailing_data = True
+            self.discard_input()
         completed, self.completed = self.completed, None
         return completed
 
+    def _body_piece_size(self) -> int:
+        return len(self.input) - self.parsed_size
+
     def end_of_input(self) -> Response | None:
         """Return the response that the end of the connection completes, if any.
 
@@ -287,7 +356,7 @@
 
     def on_message_complete(self) -> None:
         """Complete the response, or discard it if it is an interim one (1xx)."""
-        self.in_body = False
+        self._message_ended()
         status = self.parser.get_status_code()
         if status < 200:  # the final response follows
             self.body_buffer, self.interim_count = bytearray(), self.interim_count + 1
