Bound what all clients together hold by the memory limit of the process

Cause: each connection had limits, their sum had none, and the configuration's memory_mb was not read. The fields of a head that are forwarded were kept as an object each, 56 bytes for 9. A request was kept, body and all, until the last attempt of a client that had left was over. The limit on the responses of backends, 8 MiB, was the same for a process of 32 MB.

Change: net/memory_budget.py divides half of what memory_mb leaves between clients and backends. A connection counts what it holds at one place, whatever the size of its writes: input, incomplete request, the request being served (twice, for the attempt's copy) and unwritten responses. Over the budget, the incomplete requests that hold the most get 503, then clients that have left a response unread for a second are closed; a request that finds it still exceeded gets 503 before anything is begun. Forwarded fields are kept in one buffer, and a finished request frees its message.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -23,6 +23,7 @@
 from honeywharf.net.endpoint_directory import EndpointDirectory
 from honeywharf.net.frontend import Frontend
 from honeywharf.net.log import log
+from honeywharf.net.memory_budget import split_message_memory
 
 # The file descriptors are divided between the proxy itself, the connections to backends, and the clients.
 # A request that is being served holds one descriptor for its client and one for its backend, so there can be
@@ -62,7 +63,9 @@
         available = max_sockets - min(
             max(MIN_OWN_DESCRIPTORS, int(max_sockets * OWN_DESCRIPTOR_SHARE)), max_sockets // 2)
         max_upstream = min(int(max_sockets * UPSTREAM_DESCRIPTOR_SHARE), available // 2)
-        self.pool = ConnectionPool(loop, self.clock, configuration.settings.limits, max_upstream)
+        client_memory, response_memory = split_message_memory(configuration.max_memory_bytes)
+        self.pool = ConnectionPool(
+            loop, self.clock, configuration.settings.limits, max_upstream, response_memory)
         self.driver = Driver(
             configuration.settings, Balancer(configuration.settings, configuration.seed), self.pool, loop,
             self.clock, configuration.configured_report_names)
@@ -76,7 +79,7 @@
         # endpoints of the cached list. After a timeout it becomes ready all the same, and the balancer
         # refuses the requests that it cannot send.
         self.frontend = Frontend(
-            loop, self.clock, self.driver, available - max_upstream,
+            loop, self.clock, self.driver, available - max_upstream, client_memory,
             lambda: self.first_list_timed_out or self.discovery_client.initialized)
         self.first_list_timed_out = False
         self.stopped = asyncio.Event()
--- a/honeywharf/net/attempts.py
+++ b/honeywharf/net/attempts.py
@@ -45,6 +45,13 @@
         self.finished = False  # its response has been sent, or its client has disconnected
         self.timer: Timer | None = None
 
+    def release_message(self) -> None:
+        """Free the request's head and body: attempts may go on long after their request is finished."""
+        self.head = self.request.body = b""
+        for attempt in self.attempts:
+            if attempt is not None:
+                attempt.head = attempt.body = b""
+
 
 class Attempt(Call):
     """One attempt of a request."""
--- a/honeywharf/net/backend.py
+++ b/honeywharf/net/backend.py
@@ -16,6 +16,7 @@
 from honeywharf.net.calls import Call
 from honeywharf.net.clock import Clock
 from honeywharf.net.config import Address
+from honeywharf.net.memory_budget import MemoryBudget
 
 # A connection stays idle for at most this share of the shortest idle time after which its backend was
 # observed to close a connection.
@@ -28,8 +29,6 @@
 # deadline of the request.
 RESPONSE_READ_TIMEOUT_S = 0.5
 RESPONSE_TIMEOUT_S = 2.0
-# This limits the memory that all incomplete responses occupy together.
-MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 
 Outcome = api.Outcome
 # The outcome of a response that is malformed, incomplete or too large. The backend is up and has executed the
@@ -52,7 +51,7 @@
 
     loop: asyncio.AbstractEventLoop
     clock: Clock
-    buffered_bytes: int  # of all responses that are incomplete
+    response_memory: MemoryBudget  # of all responses that are incomplete
     counts: Counter[str]  # event counters for the `stats` line of the log
 
     def release(self, connection: Connection) -> None:
@@ -177,8 +176,8 @@
             return
         self.last_read_ms = self.pool.clock.now()
         self.buffered_bytes += len(data)
-        self.pool.buffered_bytes += len(data)
-        if self.pool.buffered_bytes > MAX_BUFFERED_BYTES:
+        self.pool.response_memory.change(len(data))
+        if self.pool.response_memory.exceeded:
             self._finish_call(UNREADABLE_RESPONSE_OUTCOME, None)
         elif self.response_timer is None:
             self.response_started_ms = self.last_read_ms
@@ -199,7 +198,7 @@
             self._finish_call(UNREADABLE_RESPONSE_OUTCOME, None)
 
     def _reset_response_tracking(self) -> None:
-        self.pool.buffered_bytes -= self.buffered_bytes
+        self.pool.response_memory.change(-self.buffered_bytes)
         self.buffered_bytes = 0
         if self.response_timer is not None:
             self.response_timer.cancel()
--- a/honeywharf/net/client_connection.py
+++ b/honeywharf/net/client_connection.py
@@ -9,11 +9,14 @@
 from honeywharf.net import http1, message_readers
 from honeywharf.net.clock import Clock
 from honeywharf.net.input_scheduler import InputScheduler
+from honeywharf.net.memory_budget import MemoryBudget
 
 #: How much is read from a connection at once. The rest stays in the operating system, which makes the client
 #: wait once it holds enough.
 READ_BUFFER_BYTES = 8 * 1024
 SERVICE_UNAVAILABLE = 503
+#: A request that is being served is held twice: by the request itself, and by the attempt that is written.
+COPIES_OF_SERVED_REQUEST = 2
 #: A connection stays open for this time after its last response. Closing a socket with unread input resets
 #: the connection, and the client may lose the response.
 LINGER_TIMEOUT_S = 0.5
@@ -32,6 +35,10 @@
     draining: bool  # the last response closes its connection
     read_buffer: memoryview  # all connections read into it, one after another
     input_scheduler: InputScheduler
+    client_memory: MemoryBudget  # what all connections hold
+
+    def free_memory(self) -> None:
+        """Make clients release memory, because the budget is exceeded."""
     lingering: dict[ClientConnection, None]  # the connections whose last response has been sent
 
     def connection_opened(self, connection: ClientConnection) -> None:
@@ -63,7 +70,7 @@
 
     __slots__ = (
         "closing", "current_request", "descriptor", "discarded_bytes", "group", "group_entered_ms",
-        "has_unwritten_data", "input_arrived_ms", "linger_timer", "owner", "queued", "reader",
+        "has_unwritten_data", "held_bytes", "input_arrived_ms", "linger_timer", "owner", "queued", "reader",
         "reading_paused_ms", "transport",
     )
 
@@ -83,6 +90,7 @@
         self.group_entered_ms = 0.0
         self.linger_timer: asyncio.TimerHandle | None = None
         self.descriptor = -1
+        self.held_bytes = 0  # what the connection holds, as counted in the owner's budget
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -95,12 +103,24 @@
     def pause_writing(self) -> None:
         """Record that part of a response is not written to the socket yet."""
         self.has_unwritten_data = True
+        self._count_memory()
 
     def resume_writing(self) -> None:
         """Record that all responses are written to the socket, and continue with the next request."""
         self.has_unwritten_data = False
+        self._count_memory()
         self._continue()
 
+    def _count_memory(self) -> None:
+        """Count what the connection holds in the owner's budget."""
+        held_bytes = self.reader.held_bytes + self.transport.get_write_buffer_size()
+        if self.current_request is not None:
+            held_bytes += COPIES_OF_SERVED_REQUEST * self.current_request.held_bytes
+        change_bytes, self.held_bytes = held_bytes - self.held_bytes, held_bytes
+        self.owner.client_memory.change(change_bytes)
+        if change_bytes > 0 and self.owner.client_memory.exceeded:
+            self.owner.free_memory()
+
     def _send_continue(self) -> None:
         self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -117,12 +137,14 @@
         self.reader.receive(bytes(self.owner.read_buffer[:nbytes]))
         if self._is_busy() or self.queued:
             self._pause_reading()
+            self._count_memory()
         elif self.owner.input_scheduler.may_process_now(self):
             self.owner.input_scheduler.process(self)
         else:
             self._pause_reading()
             self.owner.register_waiting(self)
             self._enqueue()
+            self._count_memory()
 
     def _set_arrival_time(self, size: int) -> None:
         """Set when the input that was just read arrived: not before reading was paused, if it was.
@@ -179,6 +201,7 @@
         else:
             self.owner.register_waiting(self)
             self._resume_reading()
+            self._count_memory()
 
     def _dispatch(self, request: http1.Request) -> None:
         request.received_ms = self.input_arrived_ms
@@ -186,6 +209,7 @@
         self.owner.set_group(self, None)
         if self.reader.has_input:
             self._pause_reading()
+        self._count_memory()
         self.owner.dispatch_request(request, self)
 
     def _discard(self, size: int) -> None:
@@ -213,6 +237,7 @@
             self._linger()
             return
         self.owner.register_waiting(self)
+        self._count_memory()
         self._continue()
 
     def reject_and_close(self, status: int) -> None:
@@ -244,8 +269,9 @@
 
     def _begin_closing(self) -> None:
         self.closing, self.current_request = True, None
-        self.reader.discard_input()
+        self.reader.discard()
         self.owner.set_group(self, None)
+        self._count_memory()
         self._resume_reading()
 
     def close(self) -> None:
@@ -258,8 +284,17 @@
         elif self.transport.get_write_buffer_size():  # the last response is not fully written to the socket
             self._linger()
         else:
-            self._begin_closing()
-            self.transport.abort()
+            self.abort()
+
+    def abort(self) -> None:
+        """Close the connection at once, even if a response is not fully written."""
+        self._begin_closing()
+        self._release_memory()
+        self.transport.abort()
+
+    def _release_memory(self) -> None:
+        self.owner.client_memory.change(-self.held_bytes)
+        self.held_bytes = 0
 
     def disconnected(self) -> bool:
         """Whether the client has closed the connection or its sending side.
@@ -280,7 +315,7 @@
         """Drop the client's requests and close the connection, because the client has disconnected."""
         if not self.closing:
             self._drop_requests()
-            self.transport.abort()
+            self.abort()
 
     def eof_received(self) -> bool:
         """Drop the client's requests: closing the connection, or only its sending side, cancels them.
@@ -304,6 +339,7 @@
         if self.linger_timer is not None:
             self.linger_timer.cancel()
             self.linger_timer = None
+        self._release_memory()
         self.owner.connection_closed(self)
         self.reader.close()
         del self.reader
--- a/honeywharf/net/config.py
+++ b/honeywharf/net/config.py
@@ -12,6 +12,9 @@
 from honeywharf import codec, interface as api
 
 Address = tuple[str, int]
+MEGABYTE = 1000 * 1000
+DEFAULT_MEMORY_MB = 192.0
+MAX_MEMORY_MB = 2.0**40  # a larger number is a mistake
 
 
 class ConfigError(Exception):
@@ -23,6 +26,7 @@
     """The configuration of a proxy.
 
     `max_sockets`: how many file descriptors the proxy may open.
+    `max_memory_bytes`: how much memory the proxy may hold. Beyond it, the platform kills the process.
     `cached_list`: the endpoint list of the last run, in the form in which discovery sends it.
     `configured_report_names`: the names of the values in a load report, as they stand in the configuration
     file. `settings.load_report_fields` has the names that they are mapped to.
@@ -33,6 +37,7 @@
     discovery: Address
     seed: int
     max_sockets: int
+    max_memory_bytes: int
     cached_list: dict[str, Any]
     settings: api.Settings
     configured_report_names: tuple[str, ...]
@@ -79,6 +84,10 @@
     max_sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else None
     if isinstance(max_sockets, bool) or not isinstance(max_sockets, int) or max_sockets < 32:
         raise ValueError("limits.sockets must be an integer of at least 32")
+    memory_mb = limits.get("memory_mb", DEFAULT_MEMORY_MB) if isinstance(limits, dict) else None
+    if isinstance(memory_mb, bool) or not isinstance(memory_mb, int | float) or not (
+            0 < memory_mb < MAX_MEMORY_MB):
+        raise ValueError("limits.memory_mb must be a positive number")
     report = settings.get("report")
     fields = report.get("fields") if isinstance(report, dict) else None
     decoded_settings = codec.decode_settings(settings)
@@ -88,6 +97,7 @@
         discovery=parse_address(raw.get("discovery") or environ.get("NODE_DISCOVERY")),
         seed=_parse_seed(raw.get("seed")),
         max_sockets=max_sockets,
+        max_memory_bytes=int(memory_mb * MEGABYTE),
         cached_list=cached_list,
         settings=decoded_settings,
         configured_report_names=tuple(fields) if isinstance(fields, list) else (),
--- a/honeywharf/net/connection_pool.py
+++ b/honeywharf/net/connection_pool.py
@@ -12,6 +12,7 @@
 from honeywharf.net.clock import TIMER_TOLERANCE_MS, Clock
 from honeywharf.net.config import Address
 from honeywharf.net.connect_times import ConnectTimes
+from honeywharf.net.memory_budget import MAX_RESPONSE_MEMORY_BYTES, MemoryBudget
 
 # A backend closes an idle connection at the latest after the idle timeout in the settings, counted from its
 # last write. The pool closes a connection this long before that, because a request that is sent on it
@@ -33,6 +34,7 @@
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, clock: Clock, limits: api.Limits, max_connections: int,
+        max_response_memory_bytes: int = MAX_RESPONSE_MEMORY_BYTES,
     ) -> None:
         self.loop, self.clock, self.max_connections = loop, clock, max_connections
         self.connect_timeout_s = (limits.connect_timeout_ms or 1000.0) / 1000.0
@@ -41,7 +43,7 @@
         self.backends: dict[str, Backend] = {}
         self.total_connections = 0  # established or pending
         self.handshakes = 0  # connects started
-        self.buffered_bytes = 0  # of all responses that are incomplete
+        self.response_memory = MemoryBudget(max_response_memory_bytes)  # of all responses that are incomplete
         self.slow_connect_count = 0  # connects that exceeded the slow-connect threshold
         self.counts: Counter[str] = Counter()  # event counters for the `stats` line of the log
         self.connect_times = ConnectTimes()
--- a/honeywharf/net/driver.py
+++ b/honeywharf/net/driver.py
@@ -346,12 +346,13 @@
 
         Requests are finished in this one place, so that each gets at most one final response. Attempts that
         are not wholly written yet are aborted; otherwise they would be sent once their connection is
-        established.
+        established. The others go on without the message, which is not needed any more.
         """
         pending.finished = True
         self.open_request_count -= 1
         self.counts[counter] += 1
         self._abort_unwritten_attempts(pending)
+        pending.release_message()
 
     def _abort_unwritten_attempts(self, pending: PendingRequest) -> None:
         """Abort the attempts of the request that are not wholly written yet."""
--- a/honeywharf/net/frontend.py
+++ b/honeywharf/net/frontend.py
@@ -12,6 +12,7 @@
 from honeywharf.net.config import Address
 from honeywharf.net.driver import Driver
 from honeywharf.net.input_scheduler import InputScheduler
+from honeywharf.net.memory_budget import MemoryBudget
 
 READINESS_PATH = b"/health/ready"
 API_PATH = b"/api"
@@ -24,6 +25,8 @@
 REDUCED_IDLE_TIMEOUT_MS = 2000.0
 #: A request must be received completely within this time after its first byte.
 REQUEST_TIMEOUT_MS = 2400.0
+#: A client may leave a response unread for this time, even if memory is scarce.
+MIN_UNREAD_AGE_MS = 1000.0
 #: A connection without a complete request is evicted before the idle ones only if it has waited this long.
 MIN_EVICTION_AGE_MS = 250.0
 SWEEP_INTERVAL_S = 0.2
@@ -34,10 +37,11 @@
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, clock: Clock, driver: Driver, max_connections: int,
-        can_serve: Callable[[], bool],
+        max_memory_bytes: int, can_serve: Callable[[], bool],
     ) -> None:
         self.loop, self.clock, self.driver, self.max_connections = loop, clock, driver, max_connections
         self.can_serve = can_serve
+        self.client_memory = MemoryBudget(max_memory_bytes)
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self.input_scheduler = InputScheduler(loop, clock)
         self.connections: set[ClientConnection] = set()
@@ -85,8 +89,7 @@
         """
         flushed = next((c for c in self.lingering if not c.transport.get_write_buffer_size()), None)
         if flushed is not None:
-            self.set_group(flushed, None)
-            flushed.transport.abort()
+            flushed.abort()
             return True
         evictable_before_ms = self.clock.now() - MIN_EVICTION_AGE_MS
         for group in (self.awaiting_first_byte, self.receiving):
@@ -99,6 +102,20 @@
             first.close()
         return first is not None
 
+    def free_memory(self) -> None:
+        """Close connections until the memory that clients hold keeps its budget.
+
+        Incomplete requests that hold the most are refused first. Next come clients that do not read their
+        responses. If all of the memory is held by requests that are being served, nothing is closed.
+        """
+        unread_since_ms = self.clock.now() - MIN_UNREAD_AGE_MS
+        while self.client_memory.exceeded and self.receiving:
+            max(self.receiving, key=lambda c: c.held_bytes).reject_and_close(SERVICE_UNAVAILABLE)
+        while self.client_memory.exceeded and (unread := [
+                c for c in (*self.idle, *self.lingering)
+                if c.has_unwritten_data and c.group_entered_ms < unread_since_ms]):
+            max(unread, key=lambda c: c.held_bytes).abort()
+
     def set_group(self, connection: ClientConnection, group: dict[ClientConnection, None] | None) -> None:
         """Move the connection to a group, or out of its group if `group` is None."""
         if connection.group is not None:
@@ -136,7 +153,7 @@
             connection.send_response(404)
         elif self.driver.validation_error(request) is not None:
             connection.reject_and_close(400)
-        elif self.refusing_requests or self.driver.at_capacity():
+        elif self.refusing_requests or self.driver.at_capacity() or self.client_memory.exceeded:
             # The request does not reach the balancer, so no backend has executed it.
             connection.send_response(SERVICE_UNAVAILABLE)
         elif not self.driver.accept_request(request, connection):
--- a/honeywharf/net/http1.py
+++ b/honeywharf/net/http1.py
@@ -92,7 +92,7 @@
 
     def __init__(self) -> None:
         self.method = self.target = self.body = b""
-        self.forwarded_lines: list[bytes] = []  # header lines that are forwarded to the backend
+        self.forwarded_lines = bytearray()  # header lines that are forwarded to the backend
         self.id = self.class_name = self.account = self.session_id = ""
         self.idempotency_key = self.facts = b""
         self.time_left_ms: float | None = None
@@ -101,12 +101,17 @@
         self.keep_alive = True
         self.received_ms = 0.0  # when its last byte arrived, on the proxy's clock
 
+    @property
+    def held_bytes(self) -> int:
+        """The size of its head and body, as far as they have been received and are kept."""
+        return len(self.target) + len(self.forwarded_lines) + len(self.body)
+
     def head(self) -> bytes:
         """Format the head for a backend, without the X-Time-Left header and the empty line that end it."""
-        lines = [b"%b %b HTTP/1.1\r\n" % (self.method, self.target), *self.forwarded_lines]
+        head = b"%b %b HTTP/1.1\r\n%b" % (self.method, self.target, bytes(self.forwarded_lines))
         if self.body or self.method != b"GET":
-            lines.append(b"Content-Length: %d\r\n" % len(self.body))
-        return b"".join(lines)
+            head += b"Content-Length: %d\r\n" % len(self.body)
+        return head
 
 
 class Response:
--- /dev/null
+++ b/honeywharf/net/memory_budget.py
@@ -0,0 +1,48 @@
+"""The memory that messages in transit may hold, derived from the memory limit of the process."""
+
+from __future__ import annotations
+
+from honeywharf.net.config import MEGABYTE
+
+#: What the process holds besides messages: the interpreter, the libraries, the connections and the list of
+#: thousands of servers.
+BASE_MEMORY_BYTES = 36 * MEGABYTE
+#: The part of the remaining memory that messages may hold. The allocator needs the rest: it cannot reuse or
+#: return all of the memory that is freed.
+MESSAGE_MEMORY_SHARE = 1 / 2
+#: Messages may hold this much in any case. Otherwise a process with little memory could serve nothing.
+MIN_MESSAGE_MEMORY_BYTES = 3 * MEGABYTE
+#: More than this is of no use to the responses that are being received.
+MAX_RESPONSE_MEMORY_BYTES = 8 * MEGABYTE
+
+
+class MemoryBudget:
+    """Counts the bytes that a group of messages holds, against a limit.
+
+    What has been received is counted once it is held. If the budget is then exceeded, its owner frees memory.
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.used_bytes = 0
+
+    def change(self, change_bytes: int) -> None:
+        """Count this many more bytes, or fewer if the number is negative."""
+        self.used_bytes += change_bytes
+
+    @property
+    def exceeded(self) -> bool:
+        """Whether more than the limit is in use."""
+        return self.used_bytes > self.limit_bytes
+
+
+def split_message_memory(max_memory_bytes: int) -> tuple[int, int]:
+    """Divide the memory of a process between clients and backends.
+
+    `max_memory_bytes` is the limit of the process. Returns the limits in bytes for what clients hold (their
+    requests and the responses to them) and for the responses that are being received from backends.
+    """
+    available = int((max_memory_bytes - BASE_MEMORY_BYTES) * MESSAGE_MEMORY_SHARE)
+    message_memory = max(MIN_MESSAGE_MEMORY_BYTES, available)
+    response_memory = min(MAX_RESPONSE_MEMORY_BYTES, message_memory // 2)
+    return message_memory - response_memory, response_memory
--- a/honeywharf/net/message_readers.py
+++ b/honeywharf/net/message_readers.py
@@ -57,9 +57,14 @@
         """Append input. It is not parsed yet."""
         self.input, self.parsed_size = self.input[self.parsed_size:] + data, 0
 
-    def discard_input(self) -> None:
-        """Drop the input that is left to parse."""
-        self.input, self.parsed_size = b"", 0
+    @property
+    def held_bytes(self) -> int:
+        """How much the input and the incomplete message hold."""
+        return len(self.input) + len(self.body_buffer)
+
+    def discard(self) -> None:
+        """Drop the input that is left to parse, and the incomplete message."""
+        self.input, self.parsed_size, self.body_buffer = b"", 0, bytearray()
 
     def on_message_begin(self) -> None:
         """Start a new message."""
@@ -96,8 +101,7 @@
     def close(self) -> None:
         """Delete the parser. It refers back to the reader, so both would wait for the garbage collector."""
         self.in_head = self.in_body = False
-        self.body_buffer = bytearray()
-        self.discard_input()
+        self.discard()
         del self.parser
 
     def _take_body(self) -> bytes:
@@ -137,7 +141,7 @@
         piece = self.input[self.parsed_size:self.parsed_size + size]
         self.parsed_size += len(piece)
         if self.parsed_size == len(self.input):
-            self.discard_input()
+            self.input, self.parsed_size = b"", 0
         self.last_parsed = (self.last_parsed + piece[1 - len(BLANK_LINE):])[1 - len(BLANK_LINE):]
         self.message_bytes += len(piece)
         if not was_in_body:
@@ -181,6 +185,16 @@
         """Whether input is left to parse, or a request to take."""
         return super().has_input or bool(self.completed)
 
+    @property
+    def held_bytes(self) -> int:
+        """How much the input and the incomplete request hold."""
+        return super().held_bytes + self.request.held_bytes
+
+    def discard(self) -> None:
+        """Drop the input that is left to parse, and the incomplete request."""
+        super().discard()
+        self.request = NO_REQUEST
+
     def next_request(self) -> Request | None:
         """Return the next request, or None if it is incomplete. Sets `error` if it is malformed."""
         while not self.completed and self.error is None and self.has_input:
@@ -188,7 +202,7 @@
                 self._parse_piece()
             except MalformedMessageError as error:
                 self.error = error
-                self.discard_input()
+                self.discard()
         return self.completed.popleft() if self.completed else None
 
     def _body_piece_size(self) -> int:
@@ -249,7 +263,7 @@
                 raise MalformedMessageError(400, "the only supported transfer coding is chunked")
             self.body_framing = b"Transfer-Encoding: chunked\r\n"
         elif key in FORWARDED_HEADERS:
-            self.request.forwarded_lines.append(b"%b: %b\r\n" % (name, value))
+            self.request.forwarded_lines += b"%b: %b\r\n" % (name, value)
 
     def on_headers_complete(self) -> None:
         """Validate the request line, and let a client that waits for `100 Continue` send the body."""
@@ -305,7 +319,7 @@
             self.has_trailing_data = True
         if self.has_input:
             self.has_trailing_data = True
-            self.discard_input()
+            self.discard()
         completed, self.completed = self.completed, None
         return completed
 
--- a/tests/proxy_harness.py
+++ b/tests/proxy_harness.py
@@ -205,10 +205,11 @@
 def make_config(discovery_port: int, entries: list[dict[str, Any]], **changes: Any) -> config.Config:
     """Build a proxy's configuration, with `entries` as its initial, cached endpoint list.
 
-    `changes` overrides settings; nested groups of settings are merged. The key `sockets` is not a
-    setting: it sets the number of sockets that the configuration allows.
+    `changes` overrides settings; nested groups of settings are merged. The keys `sockets` and `memory_bytes`
+    are not settings: they set what the configuration allows.
     """
     max_sockets = changes.pop("sockets", 1024)
+    max_memory_bytes = changes.pop("memory_bytes", 192_000_000)
     settings = {
         key: {**value, **changes.get(key, {})} if isinstance(value, dict) else changes.get(key, value)
         for key, value in SETTINGS.items()
@@ -219,6 +220,7 @@
         discovery=("127.0.0.1", discovery_port),
         seed=7,
         max_sockets=max_sockets,
+        max_memory_bytes=max_memory_bytes,
         cached_list={"generation": 1, "reset": True, "instances": entries},
         settings=codec.decode_settings(settings),
         configured_report_names=tuple(settings["report"]["fields"]),
--- a/tests/proxy_process.py
+++ b/tests/proxy_process.py
@@ -59,6 +59,12 @@
             connection.sendall(f"GET {path} HTTP/1.1\r\n\r\n".encode())
             return connection.recv(4096)
 
+    def peak_memory_bytes(self) -> int:
+        """Return the most memory that the process has held so far."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        (line,) = [line for line in status.splitlines() if line.startswith("VmHWM:")]
+        return int(line.split()[1]) * 1024
+
     def __enter__(self) -> ProxyProcess:
         return self
 
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -4,11 +4,14 @@
 
 import socket
 import tracemalloc
+from contextlib import ExitStack, suppress
+from pathlib import Path
 
 import pytest
 
-from honeywharf.net import client_connection, http1, message_readers
+from honeywharf.net import client_connection, frontend, http1, message_readers
 from tests.proxy_harness import (
+    WAIT_TIMEOUT_S,
     Backend,
     Client,
     make_response,
@@ -17,6 +20,7 @@
     wait_until,
     with_timeout,
 )
+from tests.proxy_process import ProxyProcess
 
 CHUNKED_REQUEST_HEAD = b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 CHUNKED_RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -105,3 +109,97 @@
                 assert await client.read_status() == 404
         await backend.stop()
     run_test(main())
+
+
+PAY_HEAD = (
+    b"POST /api HTTP/1.1\r\nX-Correlation-Id: %d\r\nX-Service-Class: pay\r\nX-Time-Left: 2000m\r\n")
+
+
+@pytest.mark.parametrize("sent", [
+    PAY_HEAD + b"Content-Length: 65536\r\n\r\n" + b"x" * 65_000,
+    PAY_HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"2\r\nab\r\n" * 32_000,
+    PAY_HEAD + b"Host:a\r\n" * 1900,
+], ids=["half a body", "small chunks", "short fields"])
+def test_hundreds_of_incomplete_requests_keep_the_memory_limit(tmp_path: Path, sent: bytes) -> None:
+    """Guards against a process killed for memory by many clients at once, each within its own limits."""
+    limits = {"cores": 1.0, "memory_mb": 48, "sockets": 1024}
+    with ProxyProcess(tmp_path, limits=limits) as proxy, ExitStack() as stack:
+        clients = [stack.enter_context(proxy.connect()) for _ in range(450)]
+        for number, client in enumerate(clients):
+            client.setblocking(False)
+            with suppress(BlockingIOError):
+                client.send(sent % number)
+        for client in clients:  # each gets an error, or at least a close
+            client.settimeout(WAIT_TIMEOUT_S)
+            with suppress(ConnectionError):
+                assert client.recv(12) in (b"HTTP/1.1 431", b"HTTP/1.1 503", b"HTTP/1.1 408", b"")
+        assert proxy.peak_memory_bytes() <= 48_000_000
+        assert proxy.get("/nowhere").startswith(b"HTTP/1.1 404 ")
+
+
+def test_a_request_is_refused_once_the_requests_being_served_hold_all_of_the_memory() -> None:
+    async def main() -> None:
+        backend = await Backend().start()
+        backend.default_response = None
+        async with synced_proxy([backend.discovery_entry("b")]) as harness:
+            memory = harness.proxy.frontend.client_memory
+            memory.limit_bytes = 150_000
+            first, second, third = [await Client.connect(harness.port) for _ in range(3)]
+            first.send("pay", b"x" * 60_000)
+            await with_timeout(backend.request_received.wait())
+            second.send("pay", b"x" * 60_000)
+            assert await second.read_status() == 503
+            third.send("pay")  # little memory is needed for this one
+            await wait_until(lambda: len(backend.requests) == 2)
+            for writer in list(backend.writers):
+                writer.write(make_response())
+            assert [await client.read_status() for client in (first, third)] == [200, 200]
+            assert len(backend.requests) == 2
+            await wait_until(lambda: memory.used_bytes == 0)
+        await backend.stop()
+    run_test(main())
+
+
+def test_what_clients_hold_is_released_when_they_leave() -> None:
+    """Guards against requests kept until their attempts end, after their clients have left."""
+    async def main() -> None:
+        backend = await Backend().start()
+        backend.default_response = None
+        async with synced_proxy([backend.discovery_entry("b")]) as harness:
+            client = await Client.connect(harness.port)
+            client.send("pay", b"x" * 60_000)
+            await with_timeout(backend.request_received.wait())
+            (pending,) = harness.proxy.driver.requests.values()
+            client.writer.transport.abort()
+            await wait_until(lambda: pending.finished)
+            assert (pending.request.body, pending.head) == (b"", b"")
+            assert [a.body for a in pending.attempts if a is not None] == [b""]
+            await wait_until(lambda: harness.proxy.frontend.client_memory.used_bytes == 0)
+        await backend.stop()
+    run_test(main())
+
+
+def test_a_client_that_leaves_its_response_unread_is_closed_if_memory_is_scarce(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(frontend, "MIN_UNREAD_AGE_MS", 0.0)
+
+    async def main() -> None:
+        backend = await Backend().start()
+        backend.default_response = make_response(200, b"x" * 1_000_000)
+        async with synced_proxy([backend.discovery_entry("b")]) as harness:
+            harness.proxy.frontend.client_memory.limit_bytes = 100_000
+            with socket.create_connection(("127.0.0.1", harness.port)) as unread:
+                await wait_until(lambda: len(harness.proxy.frontend.connections) == 1)
+                (connection,) = harness.proxy.frontend.connections
+                server_socket = connection.transport.get_extra_info("socket")
+                server_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                unread.sendall(PAY_HEAD % 1 + b"Content-Length: 0\r\n\r\n")
+                await wait_until(lambda: connection.has_unwritten_data)
+                backend.default_response = make_response()
+                client = await Client.connect(harness.port)
+                client.send("pay", b"x" * 10)
+                assert await client.read_status() == 200
+                assert connection.closing
+        await backend.stop()
+    run_test(main())
--- a/tests/test_close_delimited_responses.py
+++ b/tests/test_close_delimited_responses.py
@@ -31,7 +31,7 @@
 
 async def wait_for_bytes(harness: ProxyHarness, received: bytes) -> None:
     """Wait until the proxy has read these bytes, none of which completes the response."""
-    await wait_until(lambda: harness.proxy.pool.buffered_bytes == len(received))
+    await wait_until(lambda: harness.proxy.pool.response_memory.used_bytes == len(received))
 
 
 async def send_and_wait(backend: Backend, harness: ProxyHarness, received: bytes) -> Client:
@@ -64,7 +64,7 @@
             assert (status_line, body) == (b"HTTP/1.1 200 OK", b"whole")
             assert [event.outcome for event in harness.ended_attempts()] == [Outcome.OK]
             pool = harness.proxy.pool
-            assert (pool.total_connections, pool.buffered_bytes) == (0, 0)
+            assert (pool.total_connections, pool.response_memory.used_bytes) == (0, 0)
             assert pool.counts == {"responses ended by eof": 1}
             client.send("pay")  # The connection of the client serves further requests.
             await wait_until(lambda: len(backend.requests) == 2)
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -660,19 +660,18 @@
                 await asyncio.sleep(0.3)
             assert (await client.read_response())[2] == body
             assert (await harness.wait_for_ended_attempt()).outcome is Outcome.OK
-            assert harness.proxy.pool.buffered_bytes == 0
+            assert harness.proxy.pool.response_memory.used_bytes == 0
         await backend.stop()
     run_test(main())
 
 
-def test_the_total_size_of_incomplete_responses_is_limited(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_the_total_size_of_incomplete_responses_is_limited() -> None:
     """Many responses that begin and never end would otherwise use up the memory."""
-    monkeypatch.setattr(backend_module, "MAX_BUFFERED_BYTES", 300_000)
-
     async def main() -> None:
         backend = await Backend().start()
         backend.default_response = None
         async with synced_proxy([backend.discovery_entry("b")], bounds={"mostTries": 1}) as harness:
+            harness.proxy.pool.response_memory.limit_bytes = 300_000
             client = await Client.connect(harness.port)
             client.send("pay")
             await with_timeout(backend.request_received.wait())
@@ -680,6 +679,6 @@
             writer.write(make_response(200, b"x" * 400_000)[:-1])
             assert await client.read_status() == 502
             assert (await harness.wait_for_ended_attempt()).outcome is Outcome.ERROR
-            assert harness.proxy.pool.buffered_bytes == 0
+            assert harness.proxy.pool.response_memory.used_bytes == 0
         await backend.stop()
     run_test(main())
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -20,8 +20,8 @@
 
 def test_the_configuration_file_is_decoded(tmp_path: Path) -> None:
     loaded = config.load(write_config(tmp_path, listen="127.0.0.2:3000"))
-    assert (loaded.listen, loaded.discovery, loaded.max_sockets) == (
-        ("127.0.0.2", 3000), ("127.0.0.1", 1), 1024)
+    assert (loaded.listen, loaded.discovery, loaded.max_sockets, loaded.max_memory_bytes) == (
+        ("127.0.0.2", 3000), ("127.0.0.1", 1), 1024, 192_000_000)
     assert loaded.seed == 0x8C1F30D27A5BE964
     assert loaded.settings.load_report_fields == ("queue", "in_flight")
     assert loaded.configured_report_names == ("pending", "busy_reqs")
@@ -30,7 +30,8 @@
 @pytest.mark.parametrize("changes", [
     {"listen": "nowhere"}, {"listen": "127.0.0.1:99999"}, {"discovery": 5}, {"seed": "xyz"}, {"seed": None},
     {"settings": None}, {"settings": {}}, {"settings": {**SETTINGS, "zone": 3}}, {"known": []},
-    {"limits": {"sockets": "many"}}, {"known": {"generation": 1, "instances": 5}},
+    {"limits": {"sockets": "many"}}, {"limits": {"memory_mb": 0}}, {"limits": {"memory_mb": "all"}},
+    {"limits": {"memory_mb": float("inf")}}, {"known": {"generation": 1, "instances": 5}},
     {"settings": {**SETTINGS, "profiles": []}}, {"listen": "192.0.2.1:3000"},
 ])
 def test_an_invalid_configuration_exits_with_status_2(tmp_path: Path, changes: dict[str, Any]) -> None:
