Limit the number of header fields to 100

Cause: a head is limited to 16 KiB, which 4,096 fields fit in; each costs a callback and its objects, some 4 ms a head. Not the copies of forwarded fields: those of the first kind are not forwarded.

Change: a message with more than 100 fields, its trailers among them, is malformed (431), as in common servers; responses of backends likewise.

The new cases failed before.

--- a/honeywharf/net/message_readers.py
+++ b/honeywharf/net/message_readers.py
@@ -15,6 +15,7 @@
 # body to 64 KiB, but valid ones of 400 KB occur. A longer one than this counts as malformed. Many long ones
 # at once could exhaust the memory, so the pool limits what they hold together.
 MAX_RESPONSE_BODY_BYTES = 1024 * 1024
+MAX_FIELDS = 100  # in the head and the trailers of a message
 MAX_HEAD_BYTES = 16 * 1024  # with the blank lines before it
 BLANK_LINE = b"\r\n\r\n"  # ends each head and each chunked body
 MAX_INTERIM_RESPONSES = 8  # 1xx responses before one final response
@@ -34,7 +35,7 @@
         self.input, self.parsed_size = b"", 0  # what is being read, and how much of it has been parsed
         self.last_parsed = b""  # the end of what has been parsed of the current message
         self.in_head = self.in_body = False
-        self.head_bytes = 0
+        self.head_bytes = self.field_count = 0
         self.message_bytes = 0  # what has been parsed of the current message, with its framing
         # The size of the input that was framing or trailers alone, since the last part of the body.
         self.framing_bytes = 0
@@ -68,7 +69,7 @@
 
     def on_message_begin(self) -> None:
         """Start a new message."""
-        self.in_head, self.body_buffer = True, bytearray()
+        self.in_head, self.field_count, self.body_buffer = True, 0, bytearray()
 
     def on_headers_complete(self) -> None:
         """Expect the body from now on."""
@@ -76,10 +77,13 @@
         self.has_progressed, self.framing_bytes = True, 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header field. A trailer field, which follows the body, is ignored.
+        """Store a header field. A trailer field, which follows the body, is only counted.
 
         A recipient must not take a trailer field for a header (RFC 9110, section 6.5.1).
         """
+        self.field_count += 1
+        if self.field_count > MAX_FIELDS:
+            raise MalformedMessageError(431, "there are too many header or trailer fields")
         if self.in_head:
             self._store_header(name, value)
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -142,6 +142,10 @@
     (VALID_REQUEST.replace(b"Content-Length: 3", b"Content-Length: 65537"), 413),
     (VALID_REQUEST.replace(b"Content-Length: 3\r\n\r\nabc", CHUNKED + b"20000\r\n" + b"x" * 70000), 413),
     (VALID_REQUEST.replace(b"acme", b"a" * 20000), 431),
+    # Guards against clients that keep the proxy busy with heads of very many short fields.
+    (VALID_REQUEST.replace(b"Host", b"A:\r\n" * message_readers.MAX_FIELDS + b"Host"), 431),
+    (VALID_REQUEST.replace(b"Content-Length: 3\r\n\r\nabc", CHUNKED + b"0\r\n") + b"A:\r\n" * 100 + b"\r\n",
+     431),
     (b"GET /" + b"a" * 20000, 431),
     (b"GET / HTTP/1.1\r\nX-Endless: " + b"a" * 20000, 431),
     *((VALID_REQUEST.replace(b"Content-Length: 3", headers), 400) for headers in (
@@ -175,6 +179,12 @@
     assert reader.error.status == status
 
 
+def test_a_request_with_the_most_fields_is_read() -> None:
+    more_fields = b"A:\r\n" * (message_readers.MAX_FIELDS - VALID_REQUEST.count(b": "))
+    (request,) = read_requests(make_reader(), VALID_REQUEST.replace(b"Host", more_fields + b"Host"))
+    assert request.id == "9b1f"
+
+
 def test_trailer_fields_do_not_change_a_request() -> None:
     """Guards against trailer fields that were taken for headers of the request, and forwarded as such."""
     head = READ_REQUEST.replace(b"GET", b"POST").removesuffix(b"\r\n")
@@ -308,6 +318,7 @@
     b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
     STATUS_LINE + b"X-Pad: pppp\r\n" * 2000,
     STATUS_LINE + b"X-Pad: " + b"p" * 30000,
+    STATUS_LINE + b"A:\r\n" * (message_readers.MAX_FIELDS + 1) + b"\r\n",
 ])
 def test_malformed_responses_raise_an_error(raw: bytes) -> None:
     with pytest.raises(http1.MalformedMessageError):
