Close a half-closed connection whose last response is never read

Seen: a client asks for 1 MB, shuts down its sending side and reads nothing.

Cause: at the end of the input the connection left its group and all timers, and the event loop closes it only once everything is written.

--- a/honeywharf/net/client_connection.py
+++ b/honeywharf/net/client_connection.py
@@ -321,10 +321,15 @@
         """Drop the client's requests: closing the connection, or only its sending side, cancels them.
 
         `connection_lost` is too late for this: it is called only after the buffered responses are written,
-        and until then the requests could still be sent to backends.
+        and until then the requests could still be sent to backends. The client has a limited time to read the
+        last response. Otherwise one that never does would hold the connection for good.
         """
         self._drop_requests()
-        return False
+        if not self.has_unwritten_data:
+            return False
+        if self.linger_timer is None:
+            self._linger()
+        return True
 
     def _drop_requests(self) -> None:
         """Drop the input and the current request, if there is one without a response."""
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -233,3 +233,28 @@
                 assert connection.closing
         await backend.stop()
     run_test(main())
+
+
+def test_a_client_that_half_closes_and_never_reads_its_response_does_not_hold_the_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against clients that take up all connections, each until it goes away by itself."""
+    monkeypatch.setattr(client_connection, "LINGER_TIMEOUT_S", 0.02)
+    monkeypatch.setattr(client_connection, "UNWRITTEN_LINGER_TIMEOUT_S", 0.05)
+
+    async def main() -> None:
+        backend = await Backend().start()
+        backend.default_response = make_response(200, b"x" * 1_000_000)
+        async with synced_proxy([backend.discovery_entry("b")]) as harness:
+            with socket.create_connection(("127.0.0.1", harness.port)) as client:
+                await wait_until(lambda: len(harness.proxy.frontend.connections) == 1)
+                (connection,) = harness.proxy.frontend.connections
+                server_socket = connection.transport.get_extra_info("socket")
+                server_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                client.sendall(PAY_HEAD % 1 + b"Content-Length: 0\r\n\r\n")
+                await wait_until(lambda: connection.has_unwritten_data)
+                client.shutdown(socket.SHUT_WR)
+                await wait_until(lambda: not harness.proxy.frontend.connections)
+                assert harness.proxy.frontend.client_memory.used_bytes == 0
+        await backend.stop()
+    run_test(main())
