Refuse an id that may have run already, also after its client has left

Cause: an id was known only as long as its request stood in the driver's table, which it leaves with its last attempt.

Change: policy/replay_guard.py remembers ids whose attempt may have run for a minute, 8,192 at the most, as hashes; the driver answers 409, a failure, as the request may have run. An id of which no attempt can have run is served.

Tests: tests/test_replay_guard.py, which without the check failed in all six cases (three classes, closed and half-closed).

--- a/honeywharf/net/driver.py
+++ b/honeywharf/net/driver.py
@@ -15,6 +15,7 @@
 from honeywharf.net.calls import CallTransport, Client, EndpointDiscovery
 from honeywharf.net.clock import TIMER_TOLERANCE_MS, Clock, Loop
 from honeywharf.net.log import log
+from honeywharf.policy.replay_guard import ReplayGuard
 
 # The final response is due this long before the client's deadline. The client's time runs from when it sent
 # the request, so part of it has passed when the request is read, and a timer may fire late.
@@ -41,6 +42,7 @@
             zip(configured_report_names, settings.load_report_fields, strict=False))
         self.probe_path = b"/stats" if self.load_report_names else b"/health/live"
         self.requests: dict[str, PendingRequest] = {}
+        self.replay_guard = ReplayGuard()
         self.open_request_count = 0  # requests that are not finished yet
         # The events for the balancer, each with the request that it concerns, if any.
         self.events: deque[tuple[api.Event, PendingRequest | None]] = deque()
@@ -77,9 +79,16 @@
         return 0 < self.settings.limits.max_concurrent_requests <= self.open_request_count
 
     def accept_request(self, request: http1.Request, client: Client) -> bool:
-        """Accept a valid request, and return True; return False if its id is already in the table."""
+        """Accept a valid request, and return True; return False if one with its id is open or may have run.
+
+        An id belongs to one request. If it comes again, after its client has left or on another connection,
+        the request must not run a second time.
+        """
         if request.id in self.requests or request.time_left_ms is None:
             return False
+        if self.replay_guard.may_have_run(request.id, self.clock.now()):
+            self.counts["replayed ids"] += 1
+            return False
         # No client waits longer than the deadline of its class. Without this bound, the request of a client
         # that claims a remaining time of years would stay in the table for as long.
         max_remaining_ms = self.classes[request.class_name].deadline_ms
@@ -143,6 +152,8 @@
             self._finish(pending, "served")
             pending.client.send_response(200, response.body, content_type=response.content_type)
         self.counts[outcome.value] += 1
+        if outcome not in api.NOT_EXECUTED_OUTCOMES:
+            self.replay_guard.record(pending.request.id, now)
         self._enqueue(api.AttemptEnded(
             pending.request.id, attempt.number, outcome, now - attempt.started_ms, pending.finished,
             self._parse_load_report(response.load_report) if response is not None else None, attempt.endpoint,
