Read on while a request is served, to see that its client has left

Cause: pauses reading while a request is served. The end of the input follows all of it, and where the operating system's buffer is full it does not arrive, so neither the event loop nor the check before each attempt sees it; the check by itself is right, as a trace of the requests by kind of leaving showed only half-closed connections with more than the buffer holds (a close shows by the reset of the next response).

The times at which held input arrived are kept by position (net/arrival_times.py), so that each request has the time left that it had. Held input counts in the budget and goes before responses do.

Tests: the new one in test_client_disconnect.py failed before for half-closed connections with 3 MB unread.

--- a/honeywharf/net/client_connection.py
+++ b/honeywharf/net/client_connection.py
@@ -7,6 +7,7 @@
 from typing import Protocol, cast
 
 from honeywharf.net import http1, message_readers
+from honeywharf.net.arrival_times import ArrivalTimes
 from honeywharf.net.clock import Clock
 from honeywharf.net.input_scheduler import InputScheduler
 from honeywharf.net.memory_budget import MemoryBudget
@@ -15,6 +16,10 @@
 #: wait once it holds enough.
 READ_BUFFER_BYTES = 8 * 1024
 SERVICE_UNAVAILABLE = 503
+#: The most input that is held while a request is served or a response is unread. A client that sends more
+#: while its request is served loses the connection once it has the responses to what is held. It is enough
+#: for two requests of any size.
+MAX_HELD_INPUT_BYTES = 2 * (message_readers.MAX_HEAD_BYTES + message_readers.MAX_REQUEST_BODY_BYTES)
 #: A request that is being served is held twice: by the request itself, and by the attempt that is written.
 COPIES_OF_SERVED_REQUEST = 2
 #: A connection stays open for this time after its last response. Closing a socket with unread input resets
@@ -64,14 +69,16 @@
     """A client's connection. Its requests are read and served one at a time.
 
     While a request is served, or its response is not fully written to the socket, no further request is
-    parsed, and little input is read. So a client holds no more memory than one request and one read, however
-    much it sends, and nothing is begun for a request whose client has left before its turn.
+    parsed, and a limited amount of input is held. Beyond that, reading pauses while a response is unread. It
+    goes on while a request is served, because the end of the input, which shows that the client has left,
+    follows all of it; what exceeds the limit is then dropped. So a client holds a limited amount of memory,
+    however much it sends, and nothing is begun for a client that has left.
     """
 
     __slots__ = (
-        "closing", "current_request", "descriptor", "discarded_bytes", "group", "group_entered_ms",
-        "has_unwritten_data", "held_bytes", "input_arrived_ms", "linger_timer", "owner", "queued", "reader",
-        "reading_paused_ms", "transport",
+        "arrival_times", "closing", "current_request", "descriptor", "discarded_bytes", "group",
+        "group_entered_ms", "has_dropped_input", "has_unwritten_data", "held_bytes", "linger_timer", "owner",
+        "queued", "reader", "reading_paused_ms", "transport",
     )
 
     def __init__(self, owner: ConnectionOwner) -> None:
@@ -80,8 +87,8 @@
         self.current_request: http1.Request | None = None  # the one that is being served
         self.queued = False  # waits for its turn to parse its input
         self.has_unwritten_data = False  # part of a response is not written to the socket yet
-        # The earliest time at which the input that was read last can have arrived.
-        self.input_arrived_ms = 0.0
+        self.has_dropped_input = False  # so that no request after the held input can be served
+        self.arrival_times = ArrivalTimes()
         # Since when nothing has been read, until all that has arrived meanwhile is read.
         self.reading_paused_ms: float | None = None
         self.closing = False  # once set, no more requests are read, and no responses sent
@@ -133,10 +140,14 @@
         if self.closing:
             self._discard(nbytes)
             return
-        self._set_arrival_time(nbytes)
+        arrived_ms = self._earliest_arrival_ms(nbytes)
+        if self.has_dropped_input or len(self.reader.input) > MAX_HELD_INPUT_BYTES - READ_BUFFER_BYTES:
+            self.has_dropped_input = True
+            return
+        self.arrival_times.add(nbytes, arrived_ms)
         self.reader.receive(bytes(self.owner.read_buffer[:nbytes]))
         if self._is_busy() or self.queued:
-            self._pause_reading()
+            self._pause_if_not_serving()
             self._count_memory()
         elif self.owner.input_scheduler.may_process_now(self):
             self.owner.input_scheduler.process(self)
@@ -146,17 +157,18 @@
             self._enqueue()
             self._count_memory()
 
-    def _set_arrival_time(self, size: int) -> None:
-        """Set when the input that was just read arrived: not before reading was paused, if it was.
+    def _earliest_arrival_ms(self, size: int) -> float:
+        """Return the earliest time at which the input that was just read can have arrived.
 
-        The client's time for a request runs while the request waits in the operating system.
+        The client's time for a request also runs while the request waits in the operating system because
+        reading is paused.
         """
-        if self.reading_paused_ms is None:
-            self.input_arrived_ms = self.owner.clock.now()
-            return
-        self.input_arrived_ms = self.reading_paused_ms
+        paused_ms = self.reading_paused_ms
+        if paused_ms is None:
+            return self.owner.clock.now()
         if size < READ_BUFFER_BYTES:  # nothing more waits
             self.reading_paused_ms = None
+        return paused_ms
 
     def _is_busy(self) -> bool:
         return self.current_request is not None or self.has_unwritten_data
@@ -167,6 +179,12 @@
             if self.reading_paused_ms is None:
                 self.reading_paused_ms = self.owner.clock.now()
 
+    def _pause_if_not_serving(self) -> None:
+        """Pause reading if no request is served and enough input is held."""
+        is_full = len(self.reader.input) > MAX_HELD_INPUT_BYTES - READ_BUFFER_BYTES
+        if self.current_request is None and (is_full or self.queued):
+            self._pause_reading()
+
     def _resume_reading(self) -> None:
         if not self.transport.is_reading() and not self.transport.is_closing():
             self.transport.resume_reading()
@@ -179,9 +197,15 @@
     def _continue(self) -> None:
         """Go on with the input that was read while the connection was busy."""
         if not self.closing and not self._is_busy() and (
-                self.reader.has_input or not self.transport.is_reading()):
+                self.reader.has_input or self.has_dropped_input or not self.transport.is_reading()):
             self._enqueue()
 
+    def drop_input(self) -> None:
+        """Drop the held input that follows the request being served, because memory is scarce."""
+        self.has_dropped_input = True
+        self.reader.discard()
+        self._count_memory()
+
     def in_long_message(self) -> bool:
         """Return whether much of the current message has been parsed already."""
         return self.reader.message_bytes >= message_readers.MAX_CHUNKED_PIECE_BYTES
@@ -198,6 +222,8 @@
             self._dispatch(request)
         elif self.reader.error is not None:
             self.reject_and_close(self.reader.error.status)
+        elif self.has_dropped_input and not self.reader.has_input:
+            self.reject_and_close(SERVICE_UNAVAILABLE)
         else:
             self.owner.register_waiting(self)
             if self.reader.has_input:
@@ -208,11 +234,10 @@
             self._count_memory()
 
     def _dispatch(self, request: http1.Request) -> None:
-        request.received_ms = self.input_arrived_ms
+        request.received_ms = self.arrival_times.take(len(self.reader.input))
         self.current_request = request
         self.owner.set_group(self, None)
-        if self.reader.has_input:
-            self._pause_reading()
+        self._resume_reading()
         self._count_memory()
         self.owner.dispatch_request(request, self)
 
@@ -233,8 +258,10 @@
         request, self.current_request = self.current_request, None
         if request is None or self.closing:
             return
+        self._pause_if_not_serving()
         # During a drain, a request that has been read already is still served.
-        keep_alive = request.keep_alive and (not self.owner.draining or self.reader.has_input)
+        has_input = self.reader.has_input or self.has_dropped_input
+        keep_alive = request.keep_alive and (not self.owner.draining or has_input)
         self.transport.write(http1.format_response(
             status, body, keep_alive=keep_alive, retry_after_ms=retry_after_ms, content_type=content_type))
         if not keep_alive:
--- a/honeywharf/net/frontend.py
+++ b/honeywharf/net/frontend.py
@@ -105,12 +105,15 @@
     def free_memory(self) -> None:
         """Close connections until the memory that clients hold keeps its budget.
 
-        Incomplete requests that hold the most are refused first. Next come clients that do not read their
-        responses. If all of the memory is held by requests that are being served, nothing is closed.
+        Incomplete requests that hold the most are refused first. Next comes the input that follows requests
+        which are being served, and then clients that do not read their responses. If all of the memory is
+        held by requests that are being served, nothing is closed.
         """
         unread_since_ms = self.clock.now() - MIN_UNREAD_AGE_MS
         while self.client_memory.exceeded and self.receiving:
             max(self.receiving, key=lambda c: c.held_bytes).reject_and_close(SERVICE_UNAVAILABLE)
+        while self.client_memory.exceeded and (holding := [c for c in self.connections if c.reader.input]):
+            max(holding, key=lambda c: len(c.reader.input)).drop_input()
         while self.client_memory.exceeded and (unread := [
                 c for c in (*self.idle, *self.lingering)
                 if c.has_unwritten_data and c.group_entered_ms < unread_since_ms]):
--- a/honeywharf/net/message_readers.py
+++ b/honeywharf/net/message_readers.py
@@ -35,7 +35,7 @@
 
     def __init__(self, max_body_bytes: int) -> None:
         self.max_body_bytes = max_body_bytes
-        self.input, self.parsed_size = b"", 0  # what is being read, and how much of it has been parsed
+        self.input = bytearray()  # what is left to parse
         self.last_parsed = b""  # the end of what has been parsed of the current message
         self.in_head = self.in_body = False
         self.head_bytes = self.field_count = 0
@@ -55,11 +55,11 @@
     @property
     def has_input(self) -> bool:
         """Whether input is left to parse."""
-        return self.parsed_size < len(self.input)
+        return bool(self.input)
 
     def receive(self, data: bytes) -> None:
         """Append input. It is not parsed yet."""
-        self.input, self.parsed_size = self.input[self.parsed_size:] + data, 0
+        self.input += data
 
     @property
     def held_bytes(self) -> int:
@@ -68,7 +68,7 @@
 
     def discard(self) -> None:
         """Drop the input that is left to parse, and the incomplete message."""
-        self.input, self.parsed_size, self.body_buffer = b"", 0, bytearray()
+        self.input, self.body_buffer = bytearray(), bytearray()
 
     def on_message_begin(self) -> None:
         """Start a new message."""
@@ -127,16 +127,15 @@
         """Return how much of the input to parse next, in a body."""
         raise NotImplementedError
 
-    def _size_to_blank_line(self) -> int:
-        """Return the size of the input up to the end of the next blank line, or of all input without one."""
+    def _size_to_blank_line(self, max_size: int) -> int:
+        """Return the size of the input up to the end of the next blank line, or else the maximum size."""
         # The blank line may begin in what has been parsed already.
-        start = self.parsed_size
-        joint = self.last_parsed + self.input[start:start + len(BLANK_LINE) - 1]
+        joint = self.last_parsed + self.input[:len(BLANK_LINE) - 1]
         position = joint.find(BLANK_LINE)
         if position >= 0:
             return position + len(BLANK_LINE) - len(self.last_parsed)
-        position = self.input.find(BLANK_LINE, start)
-        return (len(self.input) if position < 0 else position + len(BLANK_LINE)) - start
+        position = self.input.find(BLANK_LINE, 0, max_size)
+        return max_size if position < 0 else position + len(BLANK_LINE)
 
     def _parse_piece(self) -> None:
         """Parse the next piece of the input. It ends with the current head or body at the latest."""
@@ -144,11 +143,9 @@
         if was_in_body:
             size = self._body_piece_size()
         else:
-            size = min(self._size_to_blank_line(), MAX_HEAD_BYTES - self.head_bytes)
-        piece = self.input[self.parsed_size:self.parsed_size + size]
-        self.parsed_size += len(piece)
-        if self.parsed_size == len(self.input):
-            self.input, self.parsed_size = b"", 0
+            size = self._size_to_blank_line(MAX_HEAD_BYTES - self.head_bytes)
+        piece = bytes(self.input[:size])
+        del self.input[:size]
         self.last_parsed = (self.last_parsed + piece[1 - len(BLANK_LINE):])[1 - len(BLANK_LINE):]
         self.message_bytes += len(piece)
         if not was_in_body:
@@ -229,7 +226,7 @@
 
     def _body_piece_size(self) -> int:
         if self.content_length is None:
-            return min(self._size_to_blank_line(), MAX_CHUNKED_PIECE_BYTES)
+            return self._size_to_blank_line(MAX_CHUNKED_PIECE_BYTES)
         return self.content_length - len(self.body_buffer)
 
     def _feed_parser(self, data: bytes) -> None:
@@ -346,7 +343,7 @@
         return completed
 
     def _body_piece_size(self) -> int:
-        return len(self.input) - self.parsed_size
+        return len(self.input)
 
     def end_of_input(self) -> Response | None:
         """Return the response that the end of the connection completes, if any.
--- a/tests/test_client_disconnect.py
+++ b/tests/test_client_disconnect.py
@@ -179,6 +179,36 @@
     run_test(main())
 
 
+@pytest.mark.parametrize("disconnect_mode", DISCONNECT_MODES)
+@pytest.mark.parametrize(("request_count", "body_bytes"), [(3, 60_000), (200, 0), (100, 30_000)])
+def test_nothing_more_is_sent_for_a_client_that_has_left_with_much_unread(
+    request_count: int, body_bytes: int, disconnect_mode: str,
+) -> None:
+    """Guards against requests that run for a client that closed its connection behind them.
+
+    The end of the input follows all of it. A proxy that leaves much of it unread does not see the end.
+    """
+    async def main() -> None:
+        backend = await Backend().start()
+        backend.default_response = None
+        async with synced_proxy([backend.discovery_entry("b")]) as harness:
+            client = BlockingClient(harness, disconnect_mode)
+            head = (b"POST /api HTTP/1.1\r\nX-Correlation-Id: r%d\r\nX-Service-Class: pay\r\n"
+                    b"X-Time-Left: 4000m\r\nContent-Length: %d\r\n\r\n")
+            raw = b"".join(head % (i, body_bytes) + b"x" * body_bytes for i in range(request_count))
+            await asyncio.to_thread(client.socket.sendall, raw)
+            await wait_until(lambda: len(backend.requests) == 1)
+            client.disconnect()
+            await wait_until(lambda: all(r.finished for r in harness.proxy.driver.requests.values()))
+            for writer in list(backend.writers):
+                writer.write(make_response())
+            await wait_until(lambda: not harness.proxy.frontend.connections)
+            assert len(backend.requests) == 1
+            client.socket.close()
+        await backend.stop()
+    run_test(main())
+
+
 def read_all(connection: socket.socket) -> bytes:
     """Read until the end of the connection."""
     connection.settimeout(WAIT_TIMEOUT_S)
