--- a/honeywharf/net/backend.py
+++ b/honeywharf/net/backend.py
@@ -12,7 +12,7 @@
 from typing import Protocol, cast
 
 from honeywharf import interface as api
-from honeywharf.net import http1, message_readers
+from honeywharf.net import http1, response_reader
 from honeywharf.net.calls import Call
 from honeywharf.net.clock import Clock
 from honeywharf.net.config import Address
@@ -106,7 +106,7 @@
     def __init__(self, pool: ConnectionOwner, backend: Backend) -> None:
         self.pool, self.backend = pool, backend
         self.call: Call | None = None
-        self.reader = message_readers.ResponseReader()
+        self.reader = response_reader.ResponseReader()
         # `has_unwritten_data` is set while a part of the request is not written to the socket yet.
         self.has_unwritten_data = self.closed = False
         # `last_response_ms` is the time of the last complete response, or 0 before the first one.
--- a/honeywharf/net/client_connection.py
+++ b/honeywharf/net/client_connection.py
@@ -6,7 +6,7 @@
 import select
 from typing import Protocol, cast
 
-from honeywharf.net import http1, message_readers
+from honeywharf.net import http1, message_reader, request_reader
 from honeywharf.net.arrival_times import ArrivalTimes
 from honeywharf.net.clock import Clock
 from honeywharf.net.input_scheduler import InputScheduler
@@ -15,11 +15,10 @@
 #: How much is read from a connection at once. The rest stays in the operating system, which makes the client
 #: wait once it holds enough.
 READ_BUFFER_BYTES = 8 * 1024
-SERVICE_UNAVAILABLE = 503
 #: The most input that is held while a request is served or a response is unread. A client that sends more
 #: while its request is served loses the connection once it has the responses to what is held. It is enough
 #: for two requests of any size.
-MAX_HELD_INPUT_BYTES = 2 * (message_readers.MAX_HEAD_BYTES + message_readers.MAX_REQUEST_BODY_BYTES)
+MAX_HELD_INPUT_BYTES = 2 * (message_reader.MAX_HEAD_BYTES + request_reader.MAX_REQUEST_BODY_BYTES)
 #: A request that is being served is held twice: by the request itself, and by the attempt that is written.
 COPIES_OF_SERVED_REQUEST = 2
 #: A connection stays open for this time after its last response. Closing a socket with unread input resets
@@ -83,7 +82,7 @@
 
     def __init__(self, owner: ConnectionOwner) -> None:
         self.owner = owner
-        self.reader = message_readers.RequestReader(self._send_continue)
+        self.reader = request_reader.RequestReader(self._send_continue)
         self.current_request: http1.Request | None = None  # the one that is being served
         self.queued = False  # waits for its turn to parse its input
         self.has_unwritten_data = False  # part of a response is not written to the socket yet
@@ -208,7 +207,7 @@
 
     def in_long_message(self) -> bool:
         """Return whether much of the current message has been parsed already."""
-        return self.reader.message_bytes >= message_readers.MAX_CHUNKED_PIECE_BYTES
+        return self.reader.message_bytes >= request_reader.MAX_CHUNKED_PIECE_BYTES
 
     def process_input(self) -> None:
         """Dispatch the next request; reject bad input, and read on if the request is incomplete."""
@@ -223,7 +222,7 @@
         elif self.reader.error is not None:
             self.reject_and_close(self.reader.error.status)
         elif self.has_dropped_input and not self.reader.has_input:
-            self.reject_and_close(SERVICE_UNAVAILABLE)
+            self.reject_and_close(http1.SERVICE_UNAVAILABLE)
         else:
             self.owner.register_waiting(self)
             if self.reader.has_input:
@@ -311,7 +310,7 @@
         Input that has not been parsed yet may hold one, so it gets an error response.
         """
         if self.reader.has_input:
-            self.reject_and_close(SERVICE_UNAVAILABLE)
+            self.reject_and_close(http1.SERVICE_UNAVAILABLE)
         elif self.transport.get_write_buffer_size():  # the last response is not fully written to the socket
             self._linger()
         else:
--- a/honeywharf/net/discovery_connection.py
+++ b/honeywharf/net/discovery_connection.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Protocol, cast
 
-from honeywharf.net import message_readers
+from honeywharf.net import response_reader
 
 MAX_LIST_BYTES = 16 * 1024 * 1024
 
@@ -35,7 +35,7 @@
 
     def __init__(self, owner: ConnectionOwner) -> None:
         self.owner = owner
-        self.reader = message_readers.ResponseReader(MAX_LIST_BYTES)
+        self.reader = response_reader.ResponseReader(MAX_LIST_BYTES)
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/honeywharf/net/driver.py
+++ b/honeywharf/net/driver.py
@@ -20,8 +20,6 @@
 # The final response is due this long before the client's deadline. The client's time runs from when it sent
 # the request, so part of it has passed when the request is read, and a timer may fire late.
 FINAL_RESPONSE_MARGIN_MS = 10.0
-BAD_GATEWAY = 502
-SERVICE_UNAVAILABLE = 503
 PROBE_TIMEOUT_MS = 250.0
 
 
@@ -187,7 +185,7 @@
         if not pending.finished:
             # The balancer has kept the request past its deadline, or raised an exception on it.
             self._finish(pending, "overdue")
-            pending.client.send_response(BAD_GATEWAY)
+            pending.client.send_response(http1.BAD_GATEWAY)
             self._enqueue(api.RequestAbandoned(pending.request.id), pending)
 
     def _time_out_attempt(self, attempt: Attempt) -> None:
@@ -251,7 +249,7 @@
             log(f"balancer failed on event {type(event).__name__}: {type(fault).__name__}: {fault}")
             if pending is not None and not pending.finished:
                 self._finish(pending, "broken")
-                pending.client.send_response(BAD_GATEWAY)
+                pending.client.send_response(http1.BAD_GATEWAY)
             if pending is not None and not isinstance(event, api.RequestAbandoned):
                 # The balancer must not keep any state of the request.
                 self._enqueue(api.RequestAbandoned(pending.request.id), pending)
@@ -261,9 +259,9 @@
         if isinstance(action, api.Send):
             self._start_attempt(action)
         elif isinstance(action, api.Refuse):
-            self._send_error_response(action, SERVICE_UNAVAILABLE, "refused", action.retry_after_ms)
+            self._send_error_response(action, http1.SERVICE_UNAVAILABLE, "refused", action.retry_after_ms)
         elif isinstance(action, api.Fail):
-            self._send_error_response(action, BAD_GATEWAY, "failed")
+            self._send_error_response(action, http1.BAD_GATEWAY, "failed")
         elif isinstance(action, api.SetTimer):
             delay_s = max(0.0, action.at_ms - self.clock.now()) / 1000.0
             self.loop.call_later(delay_s, self._timer_fired, action.at_ms, action.token)
@@ -348,7 +346,7 @@
         for pending in list(self.requests.values()):
             if not pending.finished:
                 self._finish(pending, "cut off")
-                pending.client.send_response(BAD_GATEWAY)
+                pending.client.send_response(http1.BAD_GATEWAY)
 
     # The table of requests.
 
--- a/honeywharf/net/frontend.py
+++ b/honeywharf/net/frontend.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from honeywharf.net import http1
-from honeywharf.net.client_connection import READ_BUFFER_BYTES, SERVICE_UNAVAILABLE, ClientConnection
+from honeywharf.net.client_connection import READ_BUFFER_BYTES, ClientConnection
 from honeywharf.net.clock import Clock
 from honeywharf.net.config import Address
 from honeywharf.net.driver import Driver
@@ -75,7 +75,7 @@
         """
         self.connections.add(connection)
         if len(self.connections) > self.max_connections and not self._evict():
-            connection.reject_and_close(SERVICE_UNAVAILABLE)
+            connection.reject_and_close(http1.SERVICE_UNAVAILABLE)
             return
         self.set_group(connection, self.awaiting_first_byte)
 
@@ -111,7 +111,7 @@
         """
         unread_since_ms = self.clock.now() - MIN_UNREAD_AGE_MS
         while self.client_memory.exceeded and self.receiving:
-            max(self.receiving, key=lambda c: c.held_bytes).reject_and_close(SERVICE_UNAVAILABLE)
+            max(self.receiving, key=lambda c: c.held_bytes).reject_and_close(http1.SERVICE_UNAVAILABLE)
         while self.client_memory.exceeded and (holding := [c for c in self.connections if c.reader.input]):
             max(holding, key=lambda c: len(c.reader.input)).drop_input()
         while self.client_memory.exceeded and (unread := [
@@ -151,14 +151,14 @@
         """Pass the request to the driver, unless the proxy sends the response itself."""
         path = request.target.partition(b"?")[0]
         if path == READINESS_PATH and request.method == b"GET":
-            connection.send_response(200 if self.ready() else SERVICE_UNAVAILABLE)
+            connection.send_response(200 if self.ready() else http1.SERVICE_UNAVAILABLE)
         elif path != API_PATH and not path.startswith(API_PATH + b"/"):
             connection.send_response(404)
         elif self.driver.validation_error(request) is not None:
             connection.reject_and_close(400)
         elif self.refusing_requests or self.driver.at_capacity() or self.client_memory.exceeded:
             # The request does not reach the balancer, so no backend has executed it.
-            connection.send_response(SERVICE_UNAVAILABLE)
+            connection.send_response(http1.SERVICE_UNAVAILABLE)
         elif not self.driver.accept_request(request, connection):
             connection.send_response(409)
 
--- a/honeywharf/net/http1.py
+++ b/honeywharf/net/http1.py
@@ -4,6 +4,8 @@
 
 import re
 
+BAD_GATEWAY = 502
+SERVICE_UNAVAILABLE = 503
 MAX_NAMED_NUMBERS = 32  # per header; further ones are ignored
 REASON_PHRASES = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout", 409: b"Conflict",
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from honeywharf.net import client_connection, frontend, http1, message_readers
+from honeywharf.net import client_connection, frontend, http1, message_reader, request_reader, response_reader
 from tests.proxy_harness import (
     WAIT_TIMEOUT_S,
     Backend,
@@ -28,18 +28,18 @@
 CHUNKED_RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-def memory_held_by(reader: message_readers.MessageReader, head: bytes, body: bytes, part_size: int) -> int:
+def memory_held_by(reader: message_reader.MessageReader, head: bytes, body: bytes, part_size: int) -> int:
     """Return how many bytes are allocated once the reader has the body in parts, without its end."""
     raw = head + body
     tracemalloc.start()
     try:
         before, _ = tracemalloc.get_traced_memory()
         for i in range(0, len(raw), part_size):
-            if isinstance(reader, message_readers.RequestReader):
+            if isinstance(reader, request_reader.RequestReader):
                 reader.receive(raw[i:i + part_size])
                 while reader.has_input:
                     assert reader.next_request() is None
-            elif isinstance(reader, message_readers.ResponseReader):
+            elif isinstance(reader, response_reader.ResponseReader):
                 assert reader.feed(raw[i:i + part_size]) is None
         return tracemalloc.get_traced_memory()[0] - before
     finally:
@@ -50,10 +50,10 @@
 @pytest.mark.parametrize("kind", ["request", "response"])
 def test_a_body_in_small_chunks_holds_no_more_than_twice_its_bytes(kind: str, part_size: int) -> None:
     """Guards against a process killed for memory by clients that stop in a body of small chunks."""
-    body_bytes = message_readers.MAX_REQUEST_BODY_BYTES - 2
-    reader: message_readers.MessageReader = (
-        message_readers.RequestReader(lambda: None) if kind == "request"
-        else message_readers.ResponseReader())
+    body_bytes = request_reader.MAX_REQUEST_BODY_BYTES - 2
+    reader: message_reader.MessageReader = (
+        request_reader.RequestReader(lambda: None) if kind == "request"
+        else response_reader.ResponseReader())
     head = CHUNKED_REQUEST_HEAD if kind == "request" else CHUNKED_RESPONSE_HEAD
     chunks = b"2\r\nab\r\n" * (body_bytes // 2)
     assert memory_held_by(reader, head, chunks, part_size) < 2 * body_bytes
@@ -70,7 +70,7 @@
             super().__init__()
             built.append(self)
 
-    monkeypatch.setattr(message_readers, "Request", RecordedRequest)
+    monkeypatch.setattr(request_reader, "Request", RecordedRequest)
     return built
 
 
@@ -120,17 +120,17 @@
 @pytest.mark.parametrize("kind", ["request", "response"])
 def test_a_malformed_message_is_freed_without_the_garbage_collector(kind: str, raw: bytes) -> None:
     """Guards against memory that grows while clients send unsound requests at full speed."""
-    reader: message_readers.MessageReader = (
-        message_readers.RequestReader(lambda: None) if kind == "request"
-        else message_readers.ResponseReader())
+    reader: message_reader.MessageReader = (
+        request_reader.RequestReader(lambda: None) if kind == "request"
+        else response_reader.ResponseReader())
     gc.collect()
     gc.disable()
     try:
-        if isinstance(reader, message_readers.RequestReader):
+        if isinstance(reader, request_reader.RequestReader):
             reader.receive(raw)
             assert reader.next_request() is None
             assert reader.error is not None
-        elif isinstance(reader, message_readers.ResponseReader):
+        elif isinstance(reader, response_reader.ResponseReader):
             with pytest.raises(http1.MalformedMessageError):
                 reader.feed(raw)
         reader.close()
--- a/tests/test_close_delimited_responses.py
+++ b/tests/test_close_delimited_responses.py
@@ -7,7 +7,7 @@
 import pytest
 
 from honeywharf import interface as api
-from honeywharf.net import http1, message_readers
+from honeywharf.net import http1, response_reader
 from tests.proxy_harness import (
     Backend,
     Client,
@@ -120,7 +120,7 @@
 
 
 def test_a_close_delimited_response_is_limited_in_size() -> None:
-    reader = message_readers.ResponseReader(max_body_bytes=10)
+    reader = response_reader.ResponseReader(max_body_bytes=10)
     assert reader.feed(HEAD + b"\r\n" + b"x" * 10) is None
     with pytest.raises(http1.MalformedMessageError):
         reader.feed(b"x")
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -13,7 +13,7 @@
 import pytest
 
 from honeywharf import interface as api
-from honeywharf.net import client_connection, frontend, http1, message_readers
+from honeywharf.net import client_connection, frontend, http1, request_reader
 from tests.proxy_harness import (
     Backend,
     Client,
@@ -98,21 +98,21 @@
         backend = await Backend().start()
         async with synced_proxy([backend.discovery_entry("b")]) as harness:
             client = await Client.connect(harness.port)
-            for body in (b"amount=42.50", b"x" * message_readers.MAX_REQUEST_BODY_BYTES):
+            for body in (b"amount=42.50", b"x" * request_reader.MAX_REQUEST_BODY_BYTES):
                 client.send(class_name, body, "4000m", "Connection: Upgrade", "Upgrade: h2c")
                 assert await client.read_status() == 200
                 client.send(class_name, body)
                 assert await client.read_status() == 200
             bodies = [body for _, _, body in backend.requests]
             assert bodies[0] == bodies[1] == b"amount=42.50"
-            assert bodies[2] == bodies[3] == b"x" * message_readers.MAX_REQUEST_BODY_BYTES
+            assert bodies[2] == bodies[3] == b"x" * request_reader.MAX_REQUEST_BODY_BYTES
             assert not any(b"upgrade" in headers for _, headers, _ in backend.requests)
         await backend.stop()
     run_test(main())
 
 
 @pytest.mark.parametrize(("request_count", "body_bytes"), [
-    (9, 0), (400, 0), (4, 30_000), (3, message_readers.MAX_REQUEST_BODY_BYTES),
+    (9, 0), (400, 0), (4, 30_000), (3, request_reader.MAX_REQUEST_BODY_BYTES),
 ])
 def test_requests_sent_at_once_run_one_at_a_time_and_each_gets_its_response(
     request_count: int, body_bytes: int,
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from honeywharf.net import http1, message_readers
+from honeywharf.net import http1, message_reader, request_reader, response_reader
 
 VALID_REQUEST = (
     b"POST /api?x=1 HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: 9b1f\r\nX-Service-Class: checkout\r\n"
@@ -14,11 +14,11 @@
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 
 
-def make_reader() -> message_readers.RequestReader:
-    return message_readers.RequestReader(lambda: None)
+def make_reader() -> request_reader.RequestReader:
+    return request_reader.RequestReader(lambda: None)
 
 
-def read_requests(reader: message_readers.RequestReader, data: bytes) -> list[http1.Request]:
+def read_requests(reader: request_reader.RequestReader, data: bytes) -> list[http1.Request]:
     """Return the requests that these bytes complete."""
     reader.receive(data)
     requests = []
@@ -148,7 +148,7 @@
     (VALID_REQUEST.replace(b"Content-Length: 3\r\n\r\nabc", CHUNKED + b"20000\r\n" + b"x" * 70000), 413),
     (VALID_REQUEST.replace(b"acme", b"a" * 20000), 431),
     # Guards against clients that keep the proxy busy with heads of very many short fields.
-    (VALID_REQUEST.replace(b"Host", b"A:\r\n" * message_readers.MAX_FIELDS + b"Host"), 431),
+    (VALID_REQUEST.replace(b"Host", b"A:\r\n" * message_reader.MAX_FIELDS + b"Host"), 431),
     (VALID_REQUEST.replace(b"Content-Length: 3\r\n\r\nabc", CHUNKED + b"0\r\n") + b"A:\r\n" * 100 + b"\r\n",
      431),
     (b"GET /" + b"a" * 20000, 431),
@@ -185,7 +185,7 @@
 
 
 def test_a_request_with_the_most_fields_is_read() -> None:
-    more_fields = b"A:\r\n" * (message_readers.MAX_FIELDS - VALID_REQUEST.count(b": "))
+    more_fields = b"A:\r\n" * (message_reader.MAX_FIELDS - VALID_REQUEST.count(b": "))
     (request,) = read_requests(make_reader(), VALID_REQUEST.replace(b"Host", more_fields + b"Host"))
     assert request.id == "9b1f"
 
@@ -204,7 +204,7 @@
 def test_a_trailer_field_does_not_tell_that_a_request_was_not_executed() -> None:
     """Guards against the repetition of a request that a trailer field declared as not executed."""
     trailers = b"X-Unprocessed: 1\r\nX-Backend-Load: queue=2\r\n"
-    response = message_readers.ResponseReader().feed(
+    response = response_reader.ResponseReader().feed(
         b"HTTP/1.1 503 X\r\n" + CHUNKED + b"1\r\nx\r\n0\r\n" + trailers + b"\r\n")
     assert response is not None
     assert (response.body, response.unprocessed, response.load_report) == (b"x", False, None)
@@ -218,7 +218,7 @@
     reader, sent = make_reader(), 0
     read_requests(reader, chunked)
     read_requests(reader, endless)
-    while reader.error is None and sent <= message_readers.MAX_HEAD_BYTES:
+    while reader.error is None and sent <= message_reader.MAX_HEAD_BYTES:
         read_requests(reader, b"a" * size)
         sent += size
     assert reader.error is not None
@@ -244,7 +244,7 @@
 
 
 def test_a_response_and_its_load_report_are_parsed() -> None:
-    reader = message_readers.ResponseReader()
+    reader = response_reader.ResponseReader()
     raw = b"HTTP/1.1 503 X\r\nX-Unprocessed: 1\r\nX-Backend-Load: queue=2\r\nContent-Length: 2\r\n\r\nno"
     assert reader.feed(raw[:-1]) is None
     assert not reader.idle
@@ -258,7 +258,7 @@
 
 def test_an_interim_response_is_skipped() -> None:
     raw = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx"
-    response = message_readers.ResponseReader().feed(raw)
+    response = response_reader.ResponseReader().feed(raw)
     assert response is not None
     assert (response.status, response.body, response.keep_alive) == (200, b"x", False)
 
@@ -274,7 +274,7 @@
     b"Content-Length: 1\r\n\r\nx", b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
 ])
 def test_a_complete_response_is_returned_despite_trailing_data(framed_body: bytes, trailing: bytes) -> None:
-    reader = message_readers.ResponseReader()
+    reader = response_reader.ResponseReader()
     response = reader.feed(STATUS_LINE + framed_body + trailing)
     assert response is not None
     assert response.body == b"x"
@@ -283,12 +283,12 @@
 
 def test_interim_responses_are_limited_and_their_headers_are_discarded() -> None:
     interim = b"HTTP/1.1 103 Early\r\nX-Backend-Load: queue=9\r\nX-Unprocessed: 1\r\n\r\n"
-    response = message_readers.ResponseReader().feed(
+    response = response_reader.ResponseReader().feed(
         interim * 2 + STATUS_LINE + b"Content-Length: 1\r\n\r\nx")
     assert response is not None
     assert (response.body, response.load_report, response.unprocessed) == (b"x", None, False)
     with pytest.raises(http1.MalformedMessageError):
-        message_readers.ResponseReader().feed(interim * 50)
+        response_reader.ResponseReader().feed(interim * 50)
 
 
 @pytest.mark.parametrize("text", [
@@ -305,7 +305,7 @@
 def test_an_idle_reader_releases_the_last_request() -> None:
     reader = make_reader()
     read_requests(reader, VALID_REQUEST)
-    assert reader.request is message_readers.NO_REQUEST
+    assert reader.request is request_reader.NO_REQUEST
     assert reader.body_buffer == b""
 
 
@@ -323,11 +323,11 @@
     b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
     STATUS_LINE + b"X-Pad: pppp\r\n" * 2000,
     STATUS_LINE + b"X-Pad: " + b"p" * 30000,
-    STATUS_LINE + b"A:\r\n" * (message_readers.MAX_FIELDS + 1) + b"\r\n",
+    STATUS_LINE + b"A:\r\n" * (message_reader.MAX_FIELDS + 1) + b"\r\n",
 ])
 def test_malformed_responses_raise_an_error(raw: bytes) -> None:
     with pytest.raises(http1.MalformedMessageError):
-        message_readers.ResponseReader().feed(raw)
+        response_reader.ResponseReader().feed(raw)
 
 
 def test_retry_after_is_in_decimal_seconds() -> None:
