--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -16,6 +16,7 @@
     WAIT_TIMEOUT_S,
     Backend,
     Client,
+    ProxyHarness,
     make_response,
     run_test,
     synced_proxy,
@@ -209,6 +210,19 @@
     run_test(main())
 
 
+async def leave_response_unread(
+    harness: ProxyHarness, client: socket.socket,
+) -> client_connection.ClientConnection:
+    """Have the only client request a long response, most of which stays in the proxy's write buffer."""
+    await wait_until(lambda: len(harness.proxy.frontend.connections) == 1)
+    (connection,) = harness.proxy.frontend.connections
+    server_socket = connection.transport.get_extra_info("socket")
+    server_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    client.sendall(PAY_HEAD % 1 + b"Content-Length: 0\r\n\r\n")
+    await wait_until(lambda: connection.has_unwritten_data)
+    return connection
+
+
 def test_a_client_that_leaves_its_response_unread_is_closed_if_memory_is_scarce(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -220,12 +234,7 @@
         async with synced_proxy([backend.discovery_entry("b")]) as harness:
             harness.proxy.frontend.client_memory.limit_bytes = 100_000
             with socket.create_connection(("127.0.0.1", harness.port)) as unread:
-                await wait_until(lambda: len(harness.proxy.frontend.connections) == 1)
-                (connection,) = harness.proxy.frontend.connections
-                server_socket = connection.transport.get_extra_info("socket")
-                server_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-                unread.sendall(PAY_HEAD % 1 + b"Content-Length: 0\r\n\r\n")
-                await wait_until(lambda: connection.has_unwritten_data)
+                connection = await leave_response_unread(harness, unread)
                 backend.default_response = make_response()
                 client = await Client.connect(harness.port)
                 client.send("pay", b"x" * 10)
@@ -247,12 +256,7 @@
         backend.default_response = make_response(200, b"x" * 1_000_000)
         async with synced_proxy([backend.discovery_entry("b")]) as harness:
             with socket.create_connection(("127.0.0.1", harness.port)) as client:
-                await wait_until(lambda: len(harness.proxy.frontend.connections) == 1)
-                (connection,) = harness.proxy.frontend.connections
-                server_socket = connection.transport.get_extra_info("socket")
-                server_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-                client.sendall(PAY_HEAD % 1 + b"Content-Length: 0\r\n\r\n")
-                await wait_until(lambda: connection.has_unwritten_data)
+                await leave_response_unread(harness, client)
                 client.shutdown(socket.SHUT_WR)
                 await wait_until(lambda: not harness.proxy.frontend.connections)
                 assert harness.proxy.frontend.client_memory.used_bytes == 0
