Keep one arrival time for what has been parsed, however it was cut

Cause: the arrival time of each read was kept until its request was complete, 124 bytes for each 10 ms of writing.

Change: times are taken with the input that they belong to, and held input keeps one for each 50 ms.

Tests: test_client_limits.py; without the change it failed.

--- a/honeywharf/net/arrival_times.py
+++ b/honeywharf/net/arrival_times.py
@@ -6,7 +6,7 @@
 
 #: Input that arrives within this time of other input counts as having arrived with it. This limits how many
 #: times are kept, however small the parts are in which the input arrives.
-RESOLUTION_MS = 10.0
+RESOLUTION_MS = 50.0
 
 
 class Arrival(NamedTuple):
--- a/honeywharf/net/client_connection.py
+++ b/honeywharf/net/client_connection.py
@@ -217,7 +217,9 @@
         if not self.transport.is_reading() and self.disconnected():
             return  # The end of the input cannot be read yet: it follows input that still waits.
         request = self.reader.next_request()
+        arrived_ms = self.arrival_times.take(len(self.reader.input))
         if request is not None:
+            request.received_ms = arrived_ms
             self._dispatch(request)
         elif self.reader.error is not None:
             self.reject_and_close(self.reader.error.status)
@@ -233,7 +235,6 @@
             self._count_memory()
 
     def _dispatch(self, request: http1.Request) -> None:
-        request.received_ms = self.arrival_times.take(len(self.reader.input))
         self.current_request = request
         self.owner.set_group(self, None)
         self._resume_reading()
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import gc
 import socket
 import tracemalloc
@@ -11,7 +12,15 @@
 
 import pytest
 
-from honeywharf.net import client_connection, frontend, http1, message_reader, request_reader, response_reader
+from honeywharf.net import (
+    arrival_times,
+    client_connection,
+    frontend,
+    http1,
+    message_reader,
+    request_reader,
+    response_reader,
+)
 from tests.proxy_harness import (
     WAIT_TIMEOUT_S,
     Backend,
@@ -210,6 +219,25 @@
     run_test(main())
 
 
+def test_a_request_that_arrives_in_many_parts_keeps_one_arrival_time() -> None:
+    """Guards against clients that write slowly and make the proxy keep a time for each part."""
+    async def main() -> None:
+        backend = await Backend().start()
+        async with synced_proxy([backend.discovery_entry("b")]) as harness:
+            client = await Client.connect(harness.port)
+            client.writer.write(PAY_HEAD % 1 + b"Content-Length: 20\r\n\r\n")
+            await wait_until(lambda: len(harness.proxy.frontend.receiving) == 1)
+            (connection,) = harness.proxy.frontend.receiving
+            for size in range(1, 21):
+                client.writer.write(b"x")
+                await asyncio.sleep(arrival_times.RESOLUTION_MS / 1000.0 / 5)
+                await wait_until(lambda: len(connection.reader.body_buffer) in (size, 0))  # noqa: B023
+                assert len(connection.arrival_times._arrivals) == 1
+            assert await client.read_status() == 200
+        await backend.stop()
+    run_test(main())
+
+
 async def leave_response_unread(
     harness: ProxyHarness, client: socket.socket,
 ) -> client_connection.ClientConnection:
