Close a connection that has just broken where it would be rejected

Change: such a connection is closed there. The new test ran without end on the state before (ended by hand) and passes. The test of requests that are not built sends 20 kB, which fit any default window of the operating system.

--- a/honeywharf/net/client_connection.py
+++ b/honeywharf/net/client_connection.py
@@ -273,7 +273,10 @@
 
     def reject_and_close(self, status: int) -> None:
         """Write an error response, read no more requests and close the connection."""
-        if self.closing or self.transport.is_closing():
+        if self.closing:
+            return
+        if self.transport.is_closing():  # it has just broken, and the event loop has not reported it yet
+            self.abort()
             return
         self.transport.write(http1.format_response(status, keep_alive=False))
         self._linger()
