Log why each connection is closed, and what the process holds

Change: each close of a client's or a backend's connection is counted by its reason (line 'connections'); forced closes, refusals, failures and retries are logged with the request id, at most 20 lines a second; the line 'resources' has resident memory, descriptors and loop delay beside their limits.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -24,6 +24,8 @@
 from honeywharf.net.frontend import Frontend
 from honeywharf.net.log import log
 from honeywharf.net.memory_budget import split_message_memory
+from honeywharf.net.resource_monitor import ResourceMonitor
+from honeywharf.net.stats_reporter import StatsReporter
 
 # The file descriptors are divided between the proxy itself, the connections to backends, and the clients.
 # A request that is being served holds one descriptor for its client and one for its backend, so there can be
@@ -80,10 +82,13 @@
         # refuses the requests that it cannot send.
         self.frontend = Frontend(
             loop, self.clock, self.driver, available - max_upstream, client_memory,
-            lambda: self.first_list_timed_out or self.discovery_client.initialized)
+            lambda: self.first_list_timed_out or self.discovery_client.initialized, self.driver.event_log)
+        self.monitor = ResourceMonitor(loop, self.clock)
+        self.stats = StatsReporter(
+            self.driver, self.discovery_client, self.pool, self.frontend, self.monitor,
+            max_memory_bytes=configuration.max_memory_bytes, max_descriptors=max_sockets)
         self.first_list_timed_out = False
         self.stopped = asyncio.Event()
-        self.logged_counts: dict[str, int] = {}
         self.environ: Mapping[str, str] = os.environ
 
     async def run(self) -> None:
@@ -98,7 +103,8 @@
         log(f"{self.configuration.name} listens on {host}:{port}")
         self.discovery_client.start()
         self.loop.call_later(FIRST_LIST_TIMEOUT_S, self._on_first_list_timeout)
-        self.loop.call_later(STATS_INTERVAL_S, self._log_stats)
+        self.monitor.start()
+        self.loop.call_later(STATS_INTERVAL_S, self._report_stats)
         gc.collect()
         gc.freeze()  # the objects created so far are permanent, so the collector need not scan them
         gc.set_threshold(20000, 20, 50)
@@ -156,23 +162,12 @@
     def _on_first_list_timeout(self) -> None:
         """Become ready. Otherwise a restart would take as long as discovery is down or its queue is full."""
         self.first_list_timed_out = True
+        if not self.discovery_client.initialized:
+            log(f"ready without a list, after {FIRST_LIST_TIMEOUT_S:.0f} s: discovery has not responded")
 
-    def _log_stats(self) -> None:
-        """Log the counters that have changed since the last time."""
-        counts = {
-            **self.driver.counts, **self.discovery_client.counts, **self.pool.counts,
-            "handshakes": self.pool.handshakes, "late_connections": self.pool.slow_connect_count,
-        }
-        changed = {
-            name: count - self.logged_counts.get(name, 0) for name, count in counts.items()
-            if count != self.logged_counts.get(name, 0)}
-        if changed:
-            log("stats " + " ".join(
-                f"{name.replace(' ', '_')}={count}" for name, count in sorted(changed.items())))
-            log("list " + self.discovery_client.list_summary())
-            log("zones " + self.driver.balancer.summary())
-        self.logged_counts = counts
-        self.loop.call_later(STATS_INTERVAL_S, self._log_stats)
+    def _report_stats(self) -> None:
+        self.stats.report()
+        self.loop.call_later(STATS_INTERVAL_S, self._report_stats)
 
 
 async def serve(configuration: config.Config, early_signals: list[int]) -> None:
--- a/honeywharf/net/backend.py
+++ b/honeywharf/net/backend.py
@@ -15,6 +15,7 @@
 from honeywharf.net import http1, response_reader
 from honeywharf.net.calls import Call
 from honeywharf.net.clock import Clock
+from honeywharf.net.close_reason import BackendCloseReason
 from honeywharf.net.config import Address
 from honeywharf.net.memory_budget import MemoryBudget
 
@@ -53,6 +54,7 @@
     clock: Clock
     response_memory: MemoryBudget  # of all responses that are incomplete
     counts: Counter[str]  # event counters for the `stats` line of the log
+    close_counts: Counter[str]  # the same, of closes by their reason
 
     def release(self, connection: Connection) -> None:
         """Return the connection to the pool for the next call."""
@@ -160,7 +162,7 @@
         if self.closed:
             return
         if self.call is None:
-            self.close()
+            self.close(BackendCloseReason.UNSOLICITED_DATA)
             return
         try:
             response = self.reader.feed(data)
@@ -227,7 +229,7 @@
             if idle_ms > MIN_OBSERVED_IDLE_MS:
                 self.backend.max_idle_ms = max(
                     MIN_OBSERVED_IDLE_MS, min(self.backend.max_idle_ms, OBSERVED_IDLE_FACTOR * idle_ms))
-            self.close()
+            self.close(BackendCloseReason.BACKEND_CLOSED)
         return False
 
     def _finish_call_at_eof(self) -> None:
@@ -244,7 +246,7 @@
         if self.call is not None:
             self._cut_off_call("calls ended by reset")
         elif not self.closed:
-            self.close()
+            self.close(BackendCloseReason.BACKEND_CLOSED)
 
     def _cut_off_call(self, counter: str) -> None:
         """End the call, because the connection has ended before the request or the response was whole."""
@@ -260,14 +262,15 @@
             self.idle_since_ms = self.last_response_ms = self.pool.clock.now()
             self.pool.release(self)
         else:
-            self.close()
+            self.close(BackendCloseReason.CALL_ENDED)
         if call is not None:
             call.connection = None
             call.complete(outcome, response)
 
-    def close(self) -> None:
+    def close(self, reason: BackendCloseReason) -> None:
         """Close the connection at once and discard what is not written yet."""
         if not self.closed:
+            self.pool.close_counts[f"backend connections closed {reason.value}"] += 1
             self.remove_from_pool()
             if self.has_unwritten_data and not self.transport.is_closing():
                 self._shutdown_socket()
--- a/honeywharf/net/client_connection.py
+++ b/honeywharf/net/client_connection.py
@@ -9,6 +9,7 @@
 from honeywharf.net import http1, message_reader, request_reader
 from honeywharf.net.arrival_times import ArrivalTimes
 from honeywharf.net.clock import Clock
+from honeywharf.net.close_reason import CloseReason
 from honeywharf.net.input_scheduler import InputScheduler
 from honeywharf.net.memory_budget import MemoryBudget
 
@@ -40,10 +41,13 @@
     read_buffer: memoryview  # all connections read into it, one after another
     input_scheduler: InputScheduler
     client_memory: MemoryBudget  # what all connections hold
+    lingering: dict[ClientConnection, None]  # the connections whose last response has been sent
 
     def free_memory(self) -> None:
         """Make clients release memory, because the budget is exceeded."""
-    lingering: dict[ClientConnection, None]  # the connections whose last response has been sent
+
+    def record_close(self, connection: ClientConnection, reason: CloseReason, status: int) -> None:
+        """Count and log why a connection is closed; `status` is that of its error response, or 0."""
 
     def connection_opened(self, connection: ClientConnection) -> None:
         """Add a new connection."""
@@ -75,9 +79,9 @@
     """
 
     __slots__ = (
-        "arrival_times", "closing", "current_request", "descriptor", "discarded_bytes", "group",
-        "group_entered_ms", "has_dropped_input", "has_unwritten_data", "held_bytes", "linger_timer", "owner",
-        "queued", "reader", "reading_paused_ms", "transport",
+        "arrival_times", "close_reason", "closing", "current_request", "descriptor", "discarded_bytes",
+        "group", "group_entered_ms", "has_dropped_input", "has_unwritten_data", "held_bytes", "linger_timer",
+        "owner", "queued", "reader", "reading_paused_ms", "transport",
     )
 
     def __init__(self, owner: ConnectionOwner) -> None:
@@ -90,6 +94,7 @@
         self.arrival_times = ArrivalTimes()
         # Since when nothing has been read, until all that has arrived meanwhile is read.
         self.reading_paused_ms: float | None = None
+        self.close_reason: CloseReason | None = None  # the first one, once the connection is being closed
         self.closing = False  # once set, no more requests are read, and no responses sent
         self.discarded_bytes = 0  # input received while closing
         self.group: dict[ClientConnection, None] | None = None  # the owner's group that it is in
@@ -222,9 +227,9 @@
             request.received_ms = arrived_ms
             self._dispatch(request)
         elif self.reader.error is not None:
-            self.reject_and_close(self.reader.error.status)
+            self.reject_and_close(self.reader.error.status, CloseReason.MALFORMED)
         elif self.has_dropped_input and not self.reader.has_input:
-            self.reject_and_close(http1.SERVICE_UNAVAILABLE)
+            self.reject_and_close(http1.SERVICE_UNAVAILABLE, CloseReason.TOO_MUCH_INPUT)
         else:
             self.owner.register_waiting(self)
             if self.reader.has_input:
@@ -265,29 +270,29 @@
         self.transport.write(http1.format_response(
             status, body, keep_alive=keep_alive, retry_after_ms=retry_after_ms, content_type=content_type))
         if not keep_alive:
-            self._linger()
+            self._linger(CloseReason.LAST_RESPONSE)
             return
         self.owner.register_waiting(self)
         self._count_memory()
         self._continue()
 
-    def reject_and_close(self, status: int) -> None:
+    def reject_and_close(self, status: int, reason: CloseReason) -> None:
         """Write an error response, read no more requests and close the connection."""
         if self.closing:
             return
         if self.transport.is_closing():  # it has just broken, and the event loop has not reported it yet
-            self.abort()
+            self.abort(CloseReason.CLIENT_LEFT)
             return
         self.transport.write(http1.format_response(status, keep_alive=False))
-        self._linger()
+        self._linger(reason, status)
 
-    def _linger(self) -> None:
+    def _linger(self, reason: CloseReason, status: int = 0) -> None:
         """Close the sending side now, and the whole connection when the client closes it or after a timeout.
 
         If the connection were closed at once, unread input would reset it, and the client could lose the
         last response.
         """
-        self._begin_closing()
+        self._begin_closing(reason, status)
         self.owner.set_group(self, self.owner.lingering)
         if self.transport.can_write_eof():
             self.transport.write_eof()
@@ -301,28 +306,31 @@
         else:
             self.transport.abort()
 
-    def _begin_closing(self) -> None:
+    def _begin_closing(self, reason: CloseReason, status: int = 0) -> None:
+        if self.close_reason is None:
+            self.close_reason = reason
+            self.owner.record_close(self, reason, status)
         self.closing, self.current_request = True, None
         self.reader.discard()
         self.owner.set_group(self, None)
         self._count_memory()
         self._resume_reading()
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close a connection without a complete request.
 
         Input that has not been parsed yet may hold one, so it gets an error response.
         """
         if self.reader.has_input:
-            self.reject_and_close(http1.SERVICE_UNAVAILABLE)
+            self.reject_and_close(http1.SERVICE_UNAVAILABLE, reason)
         elif self.transport.get_write_buffer_size():  # the last response is not fully written to the socket
-            self._linger()
+            self._linger(reason)
         else:
-            self.abort()
+            self.abort(reason)
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Close the connection at once, even if a response is not fully written."""
-        self._begin_closing()
+        self._begin_closing(reason)
         self._release_memory()
         self.transport.abort()
 
@@ -349,7 +357,7 @@
         """Drop the client's requests and close the connection, because the client has disconnected."""
         if not self.closing:
             self._drop_requests()
-            self.abort()
+            self.abort(CloseReason.CLIENT_LEFT)
 
     def eof_received(self) -> bool:
         """Drop the client's requests: closing the connection, or only its sending side, cancels them.
@@ -362,13 +370,13 @@
         if not self.has_unwritten_data:
             return False
         if self.linger_timer is None:
-            self._linger()
+            self._linger(CloseReason.CLIENT_LEFT)
         return True
 
     def _drop_requests(self) -> None:
         """Drop the input and the current request, if there is one without a response."""
         request = self.current_request
-        self._begin_closing()
+        self._begin_closing(CloseReason.CLIENT_LEFT)
         if request is not None:
             self.owner.client_disconnected(request)
 
--- a/honeywharf/net/connection_pool.py
+++ b/honeywharf/net/connection_pool.py
@@ -10,6 +10,7 @@
 from honeywharf.net.backend import Backend, Connection, PendingConnection
 from honeywharf.net.calls import Call
 from honeywharf.net.clock import TIMER_TOLERANCE_MS, Clock
+from honeywharf.net.close_reason import BackendCloseReason
 from honeywharf.net.config import Address
 from honeywharf.net.connect_times import ConnectTimes
 from honeywharf.net.memory_budget import MAX_RESPONSE_MEMORY_BYTES, MemoryBudget
@@ -46,6 +47,7 @@
         self.response_memory = MemoryBudget(max_response_memory_bytes)  # of all responses that are incomplete
         self.slow_connect_count = 0  # connects that exceeded the slow-connect threshold
         self.counts: Counter[str] = Counter()  # event counters for the `stats` line of the log
+        self.close_counts: Counter[str] = Counter()  # the same, of closes by their reason
         self.connect_times = ConnectTimes()
         self.connect_tasks: set[asyncio.Task[None]] = set()
         loop.call_later(IDLE_SWEEP_INTERVAL_S, self._close_expired_connections)
@@ -93,7 +95,7 @@
 
     def _close_idle(self, backend: Backend) -> None:
         while backend.idle_connections:
-            backend.idle_connections[-1].close()
+            backend.idle_connections[-1].close(BackendCloseReason.ENDPOINT_UNUSED)
 
     # Calls.
 
@@ -117,7 +119,7 @@
             self._stop_waiting(call, self.backends[call.endpoint])
         elif isinstance(connection, Connection):
             connection.call = None
-            connection.close()
+            connection.close(BackendCloseReason.CALL_ENDED)
 
     def has_unwritten_data(self, call: Call) -> bool:
         """Return whether part of the call is not written yet; if so, a call aborted now is never executed."""
@@ -140,7 +142,7 @@
             if (connection.idle_since_ms > min_idle_since_ms and not connection.transport.is_closing()
                     and not connection.has_unread_input()):
                 return connection
-            connection.close()
+            connection.close(BackendCloseReason.IDLE)
         return None
 
     # Waiting calls.
@@ -263,7 +265,7 @@
         if pending.slow_timer is not None:
             pending.slow_timer.cancel()
         if connection.closed or connection.transport.is_closing():
-            connection.close()
+            connection.close(BackendCloseReason.CONNECT_FAILED)
             self._connect_failed(pending, backend, outcome)
             return
         self.connect_times.add(self.clock.now() - pending.started_ms)
@@ -292,7 +294,7 @@
     def release(self, connection: Connection) -> None:
         """Make the connection available for other calls, or close it if its backend accepts no calls."""
         if not connection.backend.accepts_calls:
-            connection.close()
+            connection.close(BackendCloseReason.ENDPOINT_UNUSED)
             return
         backend = connection.backend
         backend.idle_connections.append(connection)
@@ -312,7 +314,7 @@
         ]
         if not candidates:
             return False
-        min(candidates, key=lambda c: c.idle_since_ms).close()
+        min(candidates, key=lambda c: c.idle_since_ms).close(BackendCloseReason.EVICTED)
         return True
 
     def _close_expired_connections(self) -> None:
@@ -321,5 +323,5 @@
         for backend in self.backends.values():
             min_idle_since_ms = now - min(self.max_idle_ms, backend.max_idle_ms)
             while backend.idle_connections and backend.idle_connections[0].idle_since_ms <= min_idle_since_ms:
-                backend.idle_connections[0].close()
+                backend.idle_connections[0].close(BackendCloseReason.IDLE)
         self.loop.call_later(IDLE_SWEEP_INTERVAL_S, self._close_expired_connections)
--- a/honeywharf/net/driver.py
+++ b/honeywharf/net/driver.py
@@ -14,6 +14,7 @@
 from honeywharf.net.attempts import Attempt, PendingRequest, Probe
 from honeywharf.net.calls import CallTransport, Client, EndpointDiscovery
 from honeywharf.net.clock import TIMER_TOLERANCE_MS, Clock, Loop
+from honeywharf.net.event_log import EventLog
 from honeywharf.net.log import log
 from honeywharf.policy.replay_guard import ReplayGuard
 
@@ -46,6 +47,7 @@
         self.events: deque[tuple[api.Event, PendingRequest | None]] = deque()
         self.processing_scheduled = self.processing = False
         self.counts: Counter[str] = Counter()
+        self.event_log = EventLog(clock)
 
     def start(self, cached_list: api.EndpointsListed) -> None:
         """Start the balancer with the endpoint list that is cached from the last run."""
@@ -185,6 +187,8 @@
         if not pending.finished:
             # The balancer has kept the request past its deadline, or raised an exception on it.
             self._finish(pending, "overdue")
+            self.event_log.write(
+                "request overdue:", request=pending.request.id, attempts=len(pending.attempts))
             pending.client.send_response(http1.BAD_GATEWAY)
             self._enqueue(api.RequestAbandoned(pending.request.id), pending)
 
@@ -306,6 +310,10 @@
         attempt = Attempt(
             self, pending, action.endpoint, now, attempt_deadline_at_ms, now + action.send_within_ms)
         pending.attempts.append(attempt)
+        if attempt.number:
+            self.event_log.write(
+                "request retried:", request=pending.request.id, attempt=attempt.number,
+                endpoint=action.endpoint, left_ms=pending.deadline_at_ms - now)
         pending.active_attempt_count += 1
         if attempt_deadline_at_ms < pending.deadline_at_ms - TIMER_TOLERANCE_MS:
             # Otherwise the request's timer ends the attempt.
@@ -339,6 +347,9 @@
         if pending is not None and not pending.finished:
             self._finish(pending, counter)
             self.counts[f"{counter} {action.reason.value}"] += 1
+            self.event_log.write(
+                f"request {counter}:", request=pending.request.id, reason=action.reason.value,
+                attempts=len(pending.attempts), left_ms=pending.deadline_at_ms - self.clock.now())
             pending.client.send_response(status, retry_after_ms=retry_after_ms)
 
     def fail_open_requests(self) -> None:
--- a/honeywharf/net/frontend.py
+++ b/honeywharf/net/frontend.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import socket
+from collections import Counter
 from collections.abc import Callable
 
 from honeywharf.net import http1
 from honeywharf.net.client_connection import READ_BUFFER_BYTES, ClientConnection
 from honeywharf.net.clock import Clock
+from honeywharf.net.close_reason import LOGGED_CLOSE_REASONS, CloseReason
 from honeywharf.net.config import Address
 from honeywharf.net.driver import Driver
+from honeywharf.net.event_log import EventLog
 from honeywharf.net.input_scheduler import InputScheduler
 from honeywharf.net.memory_budget import MemoryBudget
 
@@ -37,10 +40,11 @@
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, clock: Clock, driver: Driver, max_connections: int,
-        max_memory_bytes: int, can_serve: Callable[[], bool],
+        max_memory_bytes: int, can_serve: Callable[[], bool], event_log: EventLog,
     ) -> None:
         self.loop, self.clock, self.driver, self.max_connections = loop, clock, driver, max_connections
-        self.can_serve = can_serve
+        self.can_serve, self.event_log = can_serve, event_log
+        self.counts: Counter[str] = Counter()  # event counters for the `stats` line of the log
         self.client_memory = MemoryBudget(max_memory_bytes)
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self.input_scheduler = InputScheduler(loop, clock)
@@ -75,7 +79,7 @@
         """
         self.connections.add(connection)
         if len(self.connections) > self.max_connections and not self._evict():
-            connection.reject_and_close(http1.SERVICE_UNAVAILABLE)
+            connection.reject_and_close(http1.SERVICE_UNAVAILABLE, CloseReason.CONNECTION_LIMIT)
             return
         self.set_group(connection, self.awaiting_first_byte)
 
@@ -89,17 +93,17 @@
         """
         flushed = next((c for c in self.lingering if not c.transport.get_write_buffer_size()), None)
         if flushed is not None:
-            flushed.abort()
+            flushed.abort(CloseReason.EVICTED)
             return True
         evictable_before_ms = self.clock.now() - MIN_EVICTION_AGE_MS
         for group in (self.awaiting_first_byte, self.receiving):
             first = next(iter(group), None)
             if first is not None and first.group_entered_ms < evictable_before_ms:
-                first.close()
+                first.close(CloseReason.EVICTED)
                 return True
         first = next(iter(self.idle), None) or next(iter(self.awaiting_first_byte), None)
         if first is not None:
-            first.close()
+            first.close(CloseReason.EVICTED)
         return first is not None
 
     def free_memory(self) -> None:
@@ -111,13 +115,15 @@
         """
         unread_since_ms = self.clock.now() - MIN_UNREAD_AGE_MS
         while self.client_memory.exceeded and self.receiving:
-            max(self.receiving, key=lambda c: c.held_bytes).reject_and_close(http1.SERVICE_UNAVAILABLE)
+            largest = max(self.receiving, key=lambda c: c.held_bytes)
+            largest.reject_and_close(http1.SERVICE_UNAVAILABLE, CloseReason.MEMORY)
         while self.client_memory.exceeded and (holding := [c for c in self.connections if c.reader.input]):
+            self.counts["inputs dropped for memory"] += 1
             max(holding, key=lambda c: len(c.reader.input)).drop_input()
         while self.client_memory.exceeded and (unread := [
                 c for c in (*self.idle, *self.lingering)
                 if c.has_unwritten_data and c.group_entered_ms < unread_since_ms]):
-            max(unread, key=lambda c: c.held_bytes).abort()
+            max(unread, key=lambda c: c.held_bytes).abort(CloseReason.MEMORY)
 
     def set_group(self, connection: ClientConnection, group: dict[ClientConnection, None] | None) -> None:
         """Move the connection to a group, or out of its group if `group` is None."""
@@ -134,6 +140,17 @@
         if connection.group is not group:
             self.set_group(connection, group)
 
+    def record_close(self, connection: ClientConnection, reason: CloseReason, status: int) -> None:
+        """Count and log why a connection is closed; `status` is that of its error response, or 0."""
+        self.counts[f"closed {reason.value}"] += 1
+        if reason in LOGGED_CLOSE_REASONS:
+            reader = connection.reader
+            request = connection.current_request or reader.request
+            self.event_log.write(
+                "client closed:", reason=reason.value, status=status or "-", request=request.id or "-",
+                held=connection.held_bytes, parsed=reader.message_bytes, open=len(self.connections),
+                memory=self.client_memory.used_bytes)
+
     def connection_closed(self, connection: ClientConnection) -> None:
         """Remove a closed connection."""
         self.connections.discard(connection)
@@ -155,13 +172,22 @@
         elif path != API_PATH and not path.startswith(API_PATH + b"/"):
             connection.send_response(404)
         elif self.driver.validation_error(request) is not None:
-            connection.reject_and_close(400)
+            connection.reject_and_close(400, CloseReason.INVALID)
         elif self.refusing_requests or self.driver.at_capacity() or self.client_memory.exceeded:
             # The request does not reach the balancer, so no backend has executed it.
+            reason = self._refusal_reason()
+            self.counts[f"refused {reason}"] += 1
+            self.event_log.write("request refused:", request=request.id, reason=reason)
             connection.send_response(http1.SERVICE_UNAVAILABLE)
         elif not self.driver.accept_request(request, connection):
+            self.event_log.write("request rejected:", request=request.id, reason="repeated id")
             connection.send_response(409)
 
+    def _refusal_reason(self) -> str:
+        if self.refusing_requests:
+            return "stopping"
+        return "at capacity" if self.driver.at_capacity() else "memory"
+
     def ready(self) -> bool:
         """Whether the readiness endpoint reports that clients may send requests."""
         return self.server is not None and not self.draining and self.can_serve()
@@ -170,12 +196,12 @@
         """Start draining: connections close after their last response, and idle ones close now."""
         self.draining = True
         for connection in list(self.idle):
-            connection.close()
+            connection.close(CloseReason.DRAIN)
 
     def close_idle(self) -> None:
         """Close the idle connections, and those on which nothing has been received."""
         for connection in [*self.awaiting_first_byte, *self.idle]:
-            connection.close()
+            connection.close(CloseReason.DRAIN)
 
     def stop_listening(self, on_all_closed: Callable[[], None] | None = None) -> None:
         """Close the listener; `on_all_closed` is called once the last connection is closed.
@@ -217,14 +243,15 @@
         Otherwise clients that send no request, or never complete one, would keep file descriptors in use.
         """
         now, over_half_used = self.clock.now(), len(self.connections) * 2 > self.max_connections
-        self._close_expired(self.awaiting_first_byte, now - FIRST_BYTE_TIMEOUT_MS)
-        self._close_expired(
-            self.idle, now - (REDUCED_IDLE_TIMEOUT_MS if over_half_used else IDLE_TIMEOUT_MS))
+        self._close_expired(self.awaiting_first_byte, now - FIRST_BYTE_TIMEOUT_MS, CloseReason.NO_REQUEST)
+        idle_timeout_ms = REDUCED_IDLE_TIMEOUT_MS if over_half_used else IDLE_TIMEOUT_MS
+        self._close_expired(self.idle, now - idle_timeout_ms, CloseReason.IDLE)
         while self.receiving and (
                 first := next(iter(self.receiving))).group_entered_ms <= now - REQUEST_TIMEOUT_MS:
-            first.reject_and_close(408)
+            first.reject_and_close(408, CloseReason.REQUEST_TIMEOUT)
         self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
-    def _close_expired(self, group: dict[ClientConnection, None], cutoff_ms: float) -> None:
+    @staticmethod
+    def _close_expired(group: dict[ClientConnection, None], cutoff_ms: float, reason: CloseReason) -> None:
         while group and (first := next(iter(group))).group_entered_ms <= cutoff_ms:
-            first.close()
+            first.close(reason)
