Show that a full, closed or stalled log ends or stalls the process

The test plays the soak's three kinds of bad log for 2 s each. It fails on this state: with a full or a closed log the process ends with status 2 at its start (BrokenPipeError or ENOSPC from the first line, which main takes for an error of the configuration), with a log that is not read it answers nobody, as the write to the pipe blocks the event loop.

--- a/soak/process.py
+++ b/soak/process.py
@@ -17,7 +17,10 @@
 from soak.shim import build_library
 
 ROOT = Path(__file__).resolve().parent.parent
-HOST, FIRST_PORT = "127.0.0.1", 20_000  # below the ports that the system assigns
+# The address is this process's own, and the port is below those that the system assigns, so no other process
+# can have taken it when the proxy is started again.
+_PID = os.getpid()
+HOST, FIRST_PORT = f"127.{1 + (_PID >> 16) % 250}.{_PID >> 8 & 255}.{1 + _PID % 250}", 20_000
 READY_TIMEOUT_S = 10.0
 MEGABYTE = 1_000_000
 FAULTS = {
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,33 @@
+"""Short plays of the soak, of fixed seeds: a real proxy process between stand-ins, under faults."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+from soak.play import Result, play
+from soak.scenario import Scenario, draw
+
+SECONDS = 2.0
+LEAST_MEMORY_MB, MAX_DESCRIPTORS = 32, 1024
+
+
+def least_memory(seed: int, *kinds: str, seconds: float = SECONDS) -> Scenario:
+    """Draw a scenario of some kinds, with the least memory that a deployment may give."""
+    return replace(draw(seed, kinds, seconds), memory_mb=LEAST_MEMORY_MB, descriptors=MAX_DESCRIPTORS)
+
+
+def broken_rules(*scenarios: Scenario) -> dict[str, dict[str, list[str]]]:
+    """Play scenarios side by side, and return the broken rules of each, by its kinds of trouble."""
+    async def main() -> list[Result]:
+        return list(await asyncio.gather(*(play(scenario) for scenario in scenarios)))
+
+    results = asyncio.run(main())
+    assert all(result.is_valid for result in results), "the stand-ins ran late, so the play says nothing"
+    return {",".join(result.troubles): result.broken for result in results if result.broken}
+
+
+def test_a_full_closed_or_stalled_log_neither_ends_nor_stalls_the_process() -> None:
+    assert broken_rules(
+        least_memory(101, "full_log"), least_memory(102, "closed_log"),
+        least_memory(103, "stalled_log")) == {}
