Never wait for the log, and end for no error of it

Callers saw: a process with a full or closed log ended at its start with status 2; with a log that nobody read it accepted connections and answered none.

Cause: log() wrote to a blocking stderr and let errors through. The write waits while a pipe is full, on the event loop's thread; ENOSPC and EPIPE reach main, which takes an OSError for a bad address, or end whatever was to be done after the line.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -22,7 +22,7 @@
 from honeywharf.net.driver import Driver
 from honeywharf.net.endpoint_directory import EndpointDirectory
 from honeywharf.net.frontend import Frontend
-from honeywharf.net.log import log
+from honeywharf.net.log import install_log_stream, log
 from honeywharf.net.memory_budget import split_message_memory
 from honeywharf.net.resource_monitor import ResourceMonitor
 from honeywharf.net.stats_reporter import StatsReporter
@@ -192,6 +192,7 @@
 
     The status is 0 after SIGTERM, and 2 if the configuration is invalid or the address is not available.
     """
+    install_log_stream()
     # Without this handler, a SIGHUP before the event loop has its own would end the process.
     early_signals: list[int] = []
     signal.signal(signal.SIGHUP, lambda signal_number, _: early_signals.append(signal_number))
@@ -199,10 +200,10 @@
         configuration = config.load()
         uvloop.run(serve(configuration, early_signals))
     except (config.ConfigError, ValueError) as error:
-        print(f"honeywharf: {error}", file=sys.stderr)
+        log(f"honeywharf: {error}")
         return 2
     except OSError as error:
-        print(f"honeywharf: {error.strerror or error}", file=sys.stderr)
+        log(f"honeywharf: {error.strerror or error}")
         return 2
     return 0
 
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -67,6 +67,11 @@
             await asyncio.sleep(self.random.expovariate(self.scenario.rate_per_s))
         await asyncio.gather(*self.tasks)
 
+    def close(self) -> None:
+        """Close the connections that are kept."""
+        for connection in self.idle:
+            connection.writer.transport.abort()
+
     def _new_request(self) -> Request:
         time_left_s = self.scenario.deadline_ms / 1000.0 * self.random.uniform(0.4, 1.0)
         request = Request(
--- a/soak/discovery.py
+++ b/soak/discovery.py
@@ -12,6 +12,7 @@
 from soak.http import read_message, response
 from soak.scenario import ZONES
 
+DISCOVERY_HOST = "127.0.0.1"
 LONG_LIST_COUNT = 4096
 CHANGED_COUNT = 20
 # Where a server that the list names does not exist, connections are refused.
@@ -38,16 +39,19 @@
         self.changed = asyncio.Event()
         self.server: asyncio.Server | None = None
         self.port = 0
+        self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen on a free port, or on the same one again."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(self._serve, DISCOVERY_HOST, self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
     def close(self) -> None:
-        """Stop listening."""
+        """Stop listening, and close all connections."""
         if self.server is not None:
             self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
 
     def change(self) -> None:
         """Start a new generation, so that all watches are answered."""
@@ -72,11 +76,13 @@
         return {"generation": self.generation, "reset": True, "instances": self.short_list}
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
         with contextlib.suppress(asyncio.IncompleteReadError, asyncio.CancelledError, OSError, ValueError):
             while True:
                 request = await read_message(reader)
                 await self._respond(request.first_line, writer)
                 await writer.drain()
+        self.writers.discard(writer)
         writer.transport.abort()
 
     async def _respond(self, first_line: str, writer: asyncio.StreamWriter) -> None:
--- a/soak/play.py
+++ b/soak/play.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 from soak.clients import End, ProperClients, Request
-from soak.discovery import Discovery
+from soak.discovery import DISCOVERY_HOST, Discovery
 from soak.process import HOST, MEGABYTE, ROOT, ProxyProcess
 from soak.scenario import SETTLE_S, START_S, Party, Scenario, Trouble
 from soak.servers import ServerFleet
@@ -24,6 +24,7 @@
 MAX_DEADLINE_S, KILL_AFTER_DEADLINE_S = 3.0, 0.7
 RELOAD_INTERVAL_S = 0.15
 PAUSE_S, PAUSE_INTERVAL_S = 0.12, 0.4
+MAX_LOG_LINES = 200
 CHANGE_INTERVAL_S = 0.3
 MAX_LATE_START_S = 0.1  # of an attempt, after its client has left
 MIN_SERVED_SHARE = 0.5  # where only clients or the log are in trouble
@@ -98,8 +99,10 @@
                 crowd.kill()
                 crowd.wait()
             self.proxy.end(self.now_s())
+            self.clients.close()
             self.servers.close()
             self.discovery.close()
+            await asyncio.sleep(0.01)  # lets the event loop close the connections
         return self._judge()
 
     async def _watch_lag(self) -> None:
@@ -179,7 +182,7 @@
 
         def reload() -> None:
             ports.reverse()
-            self.proxy.configuration["discovery"] = f"{HOST}:{ports[0]}"
+            self.proxy.configuration["discovery"] = f"{DISCOVERY_HOST}:{ports[0]}"
             self.proxy.write_configuration()
             self.proxy.send_signal(signal.SIGHUP)
 
@@ -222,7 +225,8 @@
             broken["starved"].append(f"{served} of {stayed} served")
         result.broken = {rule: examples for rule, examples in broken.items() if examples}
         with contextlib.suppress(OSError):
-            result.log_tail = (self.folder / "proxy.log").read_text(errors="replace").splitlines()[-12:]
+            log = (self.folder / "proxy.log").read_text(errors="replace")
+            result.log_tail = log.splitlines()[-MAX_LOG_LINES:]
         return result
 
     def _is_lost(self, request: Request) -> bool:
--- a/soak/process.py
+++ b/soak/process.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Any
 
+from soak.discovery import DISCOVERY_HOST
 from soak.scenario import Scenario
 from soak.shim import build_library
 
@@ -20,7 +21,7 @@
 # The address is this process's own, and the port is below those that the system assigns, so no other process
 # can have taken it when the proxy is started again.
 _PID = os.getpid()
-HOST, FIRST_PORT = f"127.{1 + (_PID >> 16) % 250}.{_PID >> 8 & 255}.{1 + _PID % 250}", 20_000
+HOST, FIRST_PORT = f"127.{1 + (_PID >> 16) % 250}.{_PID >> 8 & 255}.{_PID & 255}", 20_000
 READY_TIMEOUT_S = 10.0
 MEGABYTE = 1_000_000
 FAULTS = {
@@ -39,7 +40,7 @@
         self.scenario, self.folder = scenario, folder
         self.port = FIRST_PORT + scenario.seed % 10_000
         self.configuration: dict[str, Any] = {
-            "name": "n1", "listen": f"{HOST}:{self.port}", "discovery": f"{HOST}:{discovery_port}",
+            "name": "n1", "listen": f"{HOST}:{self.port}", "discovery": f"{DISCOVERY_HOST}:{discovery_port}",
             "seed": f"{scenario.seed:016x}",
             "limits": {"cores": 1.0, "memory_mb": scenario.memory_mb, "sockets": scenario.descriptors},
             "known": known, "settings": scenario.settings()}
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -37,6 +37,7 @@
         self.executions: list[Execution] = []
         self.begun: Counter[str] = Counter()
         self.ports: list[int] = []
+        self.writers: set[asyncio.StreamWriter] = set()
         self.servers: list[asyncio.Server] = []
 
     async def start(self) -> None:
@@ -47,11 +48,14 @@
             self.ports.append(server.sockets[0].getsockname()[1])
 
     def close(self) -> None:
-        """Stop listening."""
+        """Stop listening, and close all connections."""
         for server in self.servers:
             server.close()
+        for writer in self.writers:
+            writer.transport.abort()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
         ended = (asyncio.IncompleteReadError, asyncio.CancelledError, OSError, ValueError)
         with contextlib.suppress(*ended):
             while True:
@@ -63,6 +67,7 @@
                 # Half of the responses are in good order, so that the proxy cannot just eject all servers.
                 trouble = self.trouble if self.random.random() < 0.5 else None
                 await self._respond(writer, trouble)
+        self.writers.discard(writer)
         writer.transport.abort()
 
     async def _respond(self, writer: asyncio.StreamWriter, trouble: str | None) -> None:
