Show that one failed system call at its start ends the process

The test starts a process five times while socket fails with ENFILE or ENOBUFS, and bind with EADDRINUSE, for some calls.

--- a/soak/faults.c
+++ b/soak/faults.c
@@ -1,7 +1,7 @@
 /* Makes system calls of one process fail or fall short, and steps its wall clock. It is preloaded.
  *
- * SOAK_FAULTS holds items `call:errno:share`, separated by commas. `call` is accept, socket, connect, wait, read or
- * write; the errno SHORT shortens a read or a write in place of failing it. SOAK_SEED seeds the choice of calls.
+ * SOAK_FAULTS holds items `call:errno:share`, separated by commas. `call` is accept, socket, bind, connect, wait,
+ * read or write; the errno SHORT shortens a read or a write in place of failing it. SOAK_SEED seeds the choice of calls.
  * SOAK_CLOCK is `after_s:step_s`: so long after the start, the wall clock is stepped by so many seconds.
  * Reads and writes are left alone unless they are on a stream socket.
  */
@@ -17,8 +17,8 @@
 #include <time.h>
 #include <unistd.h>
 
-enum call { ACCEPT, SOCKET, CONNECT, WAIT, READ, WRITE, CALLS };
-static const char *const call_names[CALLS] = {"accept", "socket", "connect", "wait", "read", "write"};
+enum call { ACCEPT, SOCKET, BIND, CONNECT, WAIT, READ, WRITE, CALLS };
+static const char *const call_names[CALLS] = {"accept", "socket", "bind", "connect", "wait", "read", "write"};
 enum { MAX_FAULTS_PER_CALL = 8, SHORT_IO = -1 };
 struct fault { int error; double share; };
 static struct fault faults[CALLS][MAX_FAULTS_PER_CALL];
@@ -30,7 +30,7 @@
 static const struct { const char *name; int value; } error_names[] = {
     {"EMFILE", EMFILE}, {"ENFILE", ENFILE}, {"ENOBUFS", ENOBUFS}, {"ENOMEM", ENOMEM}, {"ECONNABORTED", ECONNABORTED},
     {"EADDRNOTAVAIL", EADDRNOTAVAIL}, {"ENETUNREACH", ENETUNREACH}, {"EHOSTUNREACH", EHOSTUNREACH},
-    {"ETIMEDOUT", ETIMEDOUT}, {"ECONNRESET", ECONNRESET}, {"EINTR", EINTR}, {"EPERM", EPERM}, {"SHORT", SHORT_IO}};
+    {"ETIMEDOUT", ETIMEDOUT}, {"ECONNRESET", ECONNRESET}, {"EINTR", EINTR}, {"EPERM", EPERM}, {"EADDRINUSE", EADDRINUSE}, {"SHORT", SHORT_IO}};
 
 static double next_random(void) {
     random_state ^= random_state << 13;
@@ -110,6 +110,12 @@
     return real(domain, type, protocol);
 }
 
+int bind(int fd, const struct sockaddr *address, socklen_t size) {
+    REAL(bind);
+    FAIL(BIND);
+    return real(fd, address, size);
+}
+
 int connect(int fd, const struct sockaddr *address, socklen_t size) {
     REAL(connect);
     FAIL(CONNECT);
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -14,6 +14,7 @@
 import pytest
 
 from honeywharf.net import config
+from soak.shim import build_library
 from tests.proxy_harness import SETTINGS, WAIT_TIMEOUT_S
 from tests.proxy_process import REPOSITORY_ROOT, ProxyProcess, write_config
 
@@ -147,3 +148,14 @@
         assert proxy.process.wait(WAIT_TIMEOUT_S) == 0
     first.listener.close()
     second.listener.close()
+
+
+def test_a_system_call_that_fails_for_a_moment_does_not_end_a_process_that_starts(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setenv("LD_PRELOAD", str(build_library()))
+    monkeypatch.setenv("SOAK_FAULTS", "socket:ENFILE:0.3,socket:ENOBUFS:0.3,bind:EADDRINUSE:0.5")
+    for seed in range(1, 6):
+        monkeypatch.setenv("SOAK_SEED", str(seed))
+        with ProxyProcess(tmp_path) as proxy:
+            assert proxy.get("/nowhere").startswith(b"HTTP/1.1 404 ")
