Try a start or a reload again that fails for lack of a resource

Callers saw: a node that ends with status 2 as soon as it is started, and refused connections until the platform starts it again.

Cause: one ENFILE, EMFILE, ENOBUFS, ENOMEM or EADDRINUSE of socket, bind or open at the start was taken for an error of the configuration. The same mistake in the reload: a configuration file that could not be opened for a moment left a proxy at the old address of discovery for good.

Change: main tries again for 5 s, every 50 ms, with early SIGHUPs kept; a reload is tried until the file can be read. Other errors end the start at once, as before.

Evidence: the test of five starts under failing calls (soak/faults.c) failed on the state before and passes; the new test of the reload fails without its part.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -8,6 +8,7 @@
 import resource
 import signal
 import sys
+import time
 from collections.abc import Mapping
 from dataclasses import replace
 
@@ -24,6 +25,7 @@
 from honeywharf.net.frontend import Frontend
 from honeywharf.net.log import install_log_stream, log
 from honeywharf.net.memory_budget import split_message_memory
+from honeywharf.net.passing_errors import PASSING_START_ERRNOS
 from honeywharf.net.resource_monitor import ResourceMonitor
 from honeywharf.net.stats_reporter import StatsReporter
 
@@ -54,6 +56,9 @@
 # A restarted proxy must be ready within 10 s, even on a busy machine, so it does not wait longer for a list.
 FIRST_LIST_TIMEOUT_S = 5.0
 STATS_INTERVAL_S = 5.0
+# A start or a reload that fails for lack of a resource is tried again, a start for this time in total.
+RETRY_INTERVAL_S = 0.05
+START_RETRY_S = 5.0
 
 
 class Proxy:
@@ -89,6 +94,7 @@
             max_memory_bytes=configuration.max_memory_bytes, max_descriptors=max_sockets)
         self.first_list_timed_out = False
         self.stopped = asyncio.Event()
+        self.reload_timer: asyncio.TimerHandle | None = None  # of a reload that is tried again
         self.environ: Mapping[str, str] = os.environ
 
     async def run(self) -> None:
@@ -115,6 +121,10 @@
         """Apply a changed address of discovery from the configuration file. Nothing else changes."""
         try:
             configuration = config.load(self.environ)
+        except OSError as error:
+            log(f"reload: {error.strerror or error}; trying again")
+            self._reload_later()
+            return
         except Exception as error:  # no error in the file may end a proxy in service
             log(f"reload: {error or type(error).__name__}; the current configuration stays")
             return
@@ -127,6 +137,11 @@
             log("reload: changes of listen, limits and settings take effect at the next start")
         self.discovery_client.change_address(configuration.discovery)
 
+    def _reload_later(self) -> None:
+        if self.reload_timer is not None:
+            self.reload_timer.cancel()
+        self.reload_timer = self.loop.call_later(RETRY_INTERVAL_S, self.reload)
+
     def drain(self) -> None:
         """Start draining, as for a planned restart (see the documents DEPLOY and PROTOCOL).
 
@@ -193,19 +208,22 @@
     The status is 0 after SIGTERM, and 2 if the configuration is invalid or the address is not available.
     """
     install_log_stream()
-    # Without this handler, a SIGHUP before the event loop has its own would end the process.
     early_signals: list[int] = []
-    signal.signal(signal.SIGHUP, lambda signal_number, _: early_signals.append(signal_number))
-    try:
-        configuration = config.load()
-        uvloop.run(serve(configuration, early_signals))
-    except (config.ConfigError, ValueError) as error:
-        log(f"honeywharf: {error}")
-        return 2
-    except OSError as error:
-        log(f"honeywharf: {error.strerror or error}")
-        return 2
-    return 0
+    retry_until = time.monotonic() + START_RETRY_S
+    while True:
+        # Without this handler, a SIGHUP before the event loop has its own would end the process.
+        signal.signal(signal.SIGHUP, lambda signal_number, _: early_signals.append(signal_number))
+        try:
+            uvloop.run(serve(config.load(), early_signals))
+            return 0
+        except (config.ConfigError, ValueError) as error:
+            log(f"honeywharf: {error}")
+            return 2
+        except OSError as error:  # nothing is served yet: only a start raises such errors
+            log(f"honeywharf: {error.strerror or error}")
+            if error.errno not in PASSING_START_ERRNOS or time.monotonic() > retry_until:
+                return 2
+            time.sleep(RETRY_INTERVAL_S)
 
 
 if __name__ == "__main__":
--- a/honeywharf/net/config.py
+++ b/honeywharf/net/config.py
@@ -10,6 +10,7 @@
 import orjson
 
 from honeywharf import codec, interface as api
+from honeywharf.net.passing_errors import PASSING_ERRNOS
 
 Address = tuple[str, int]
 MEGABYTE = 1000 * 1000
@@ -54,7 +55,10 @@
 
 
 def load(environ: Mapping[str, str] = os.environ) -> Config:
-    """Load the configuration file that `NODE_CONFIG` names."""
+    """Load the configuration file that `NODE_CONFIG` names.
+
+    Raises ConfigError if it is missing or invalid, and OSError if it cannot be read at the moment.
+    """
     path = environ.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG is not set")
@@ -62,6 +66,8 @@
         with open(path, "rb") as file:
             raw = orjson.loads(file.read())
     except OSError as error:
+        if error.errno in PASSING_ERRNOS:
+            raise
         raise ConfigError(f"NODE_CONFIG: {error.strerror or error}") from None
     except orjson.JSONDecodeError as error:
         raise ConfigError(f"NODE_CONFIG is not JSON: {error}") from None
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import signal
 import socket
 import subprocess
 import sys
 import time
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -15,7 +17,7 @@
 
 from honeywharf.net import config
 from soak.shim import build_library
-from tests.proxy_harness import SETTINGS, WAIT_TIMEOUT_S
+from tests.proxy_harness import SETTINGS, WAIT_TIMEOUT_S, run_test, synced_proxy, wait_until
 from tests.proxy_process import REPOSITORY_ROOT, ProxyProcess, write_config
 
 
@@ -159,3 +161,25 @@
         monkeypatch.setenv("SOAK_SEED", str(seed))
         with ProxyProcess(tmp_path) as proxy:
             assert proxy.get("/nowhere").startswith(b"HTTP/1.1 404 ")
+
+
+def test_a_reload_that_cannot_read_the_file_for_a_moment_is_tried_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a proxy that stays with the old address of discovery after one failed read."""
+    async def main() -> None:
+        async with synced_proxy([]) as harness:
+            proxy = harness.proxy
+            moved = replace(proxy.configuration, discovery=("127.0.0.1", 1))
+            results: list[config.Config | OSError] = [OSError(errno.ENFILE, "table full"), moved]
+
+            def load(_: object) -> config.Config:
+                result = results.pop(0)
+                if isinstance(result, OSError):
+                    raise result
+                return result
+
+            monkeypatch.setattr(config, "load", load)
+            proxy.reload()
+            await wait_until(lambda: proxy.discovery_client.address == moved.discovery)
+    run_test(main())
