Accept connections without losing those that wait when accept fails

Cause: on EMFILE or ENFILE the event loop library's listener accepts all connections that wait and closes them. A drain took any error of accept for an empty queue and closed the listener with connections in it.

Change: the proxy accepts by itself (net/acceptor.py). An error of one connection is passed over; after a lack of a resource it goes on 10 ms later, while the rest waits in the operating system, and with EMFILE another connection is evicted. 16 connections are accepted in an iteration, where it was one.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -105,7 +105,7 @@
         cached_list = self.directory.apply(self.configuration.cached_list, api.ListKind.CACHED)
         # The cached list is expired until discovery has responded.
         self.driver.start(replace(cached_list, expires_at_ms=float("-inf")))
-        host, port = await self.frontend.listen(self.configuration.listen)
+        host, port = self.frontend.listen(self.configuration.listen)
         log(f"{self.configuration.name} listens on {host}:{port}")
         self.discovery_client.start()
         self.loop.call_later(FIRST_LIST_TIMEOUT_S, self._on_first_list_timeout)
--- a/honeywharf/net/frontend.py
+++ b/honeywharf/net/frontend.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from honeywharf.net import http1
+from honeywharf.net.acceptor import Acceptor
 from honeywharf.net.client_connection import READ_BUFFER_BYTES, ClientConnection
 from honeywharf.net.clock import Clock
 from honeywharf.net.close_reason import LOGGED_CLOSE_REASONS, CloseReason
@@ -54,22 +55,19 @@
         self.receiving: dict[ClientConnection, None] = {}  # part of a request has been received
         self.idle: dict[ClientConnection, None] = {}  # the response to the last request has been sent
         self.lingering: dict[ClientConnection, None] = {}  # the last response has been sent
-        self.server: asyncio.Server | None = None
-        self.listener: socket.socket | None = None
-        self.accept_tasks: set[asyncio.Task[object]] = set()
+        self.acceptor: Acceptor | None = None
         self.draining = False
         self.refusing_requests = False  # whether new requests get a 503, because the process is about to end
         self.on_all_closed: Callable[[], None] | None = None
 
-    async def listen(self, address: Address) -> Address:
+    def listen(self, address: Address) -> Address:
         """Open the listener, and return its address."""
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self.listener = socket.create_server(address, family=family, backlog=LISTEN_BACKLOG)
-        self.listener.setblocking(False)
-        self.server = await self.loop.create_server(
-            lambda: ClientConnection(self), sock=self.listener, backlog=LISTEN_BACKLOG)
+        listener = socket.create_server(address, family=family, backlog=LISTEN_BACKLOG)
+        self.acceptor = Acceptor(
+            self.loop, listener, lambda: ClientConnection(self), self._evict, self._notify_if_all_closed)
         self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
-        host, port = self.server.sockets[0].getsockname()[:2]
+        host, port = listener.getsockname()[:2]
         return host, port
 
     def connection_opened(self, connection: ClientConnection) -> None:
@@ -161,7 +159,9 @@
         self.driver.client_disconnected(request)
 
     def _notify_if_all_closed(self) -> None:
-        if not self.connections and not self.accept_tasks and self.on_all_closed is not None:
+        if self.on_all_closed is None or self.connections:
+            return
+        if self.acceptor is None or self.acceptor.idle:
             self.on_all_closed()
 
     def dispatch_request(self, request: http1.Request, connection: ClientConnection) -> None:
@@ -190,7 +190,7 @@
 
     def ready(self) -> bool:
         """Whether the readiness endpoint reports that clients may send requests."""
-        return self.server is not None and not self.draining and self.can_serve()
+        return self.acceptor is not None and not self.draining and self.can_serve()
 
     def drain(self) -> None:
         """Start draining: connections close after their last response, and idle ones close now."""
@@ -204,33 +204,10 @@
             connection.close(CloseReason.DRAIN)
 
     def stop_listening(self, on_all_closed: Callable[[], None] | None = None) -> None:
-        """Close the listener; `on_all_closed` is called once the last connection is closed.
-
-        Connections in the accept queue are accepted first. Otherwise closing the listener would reset them
-        and lose requests that the kernel has already received. The queue holds connections if the event loop
-        is late, because the timer that closes the listener may then run before the listener's events.
-        """
+        """Close the listener; `on_all_closed` is called once the last connection is closed."""
         self.on_all_closed = on_all_closed
-        if self.server is not None and self.listener is not None and self.server.is_serving():
-            while (client_socket := self._accept_next(self.listener)) is not None:
-                task = self.loop.create_task(
-                    self.loop.connect_accepted_socket(lambda: ClientConnection(self), client_socket))
-                self.accept_tasks.add(task)
-                task.add_done_callback(self._accept_done)
-            self.server.close()
-        self._notify_if_all_closed()
-
-    @staticmethod
-    def _accept_next(listener: socket.socket) -> socket.socket | None:
-        try:
-            client_socket, _ = listener.accept()
-        except OSError:  # the queue is empty, or no file descriptor is available
-            return None
-        client_socket.setblocking(False)
-        return client_socket
-
-    def _accept_done(self, task: asyncio.Task[object]) -> None:
-        self.accept_tasks.discard(task)
+        if self.acceptor is not None:
+            self.acceptor.stop()
         self._notify_if_all_closed()
 
     def has_unwritten_data(self) -> bool:
--- a/honeywharf/net/stats_reporter.py
+++ b/honeywharf/net/stats_reporter.py
@@ -52,7 +52,9 @@
         if has_stats:
             log("list " + self.discovery_client.list_summary())
             log("zones " + self.driver.balancer.summary())
-        has_closes = self.connections_line.write({**self.pool.close_counts, **self.frontend.counts})
+        acceptor = self.frontend.acceptor
+        has_closes = self.connections_line.write({
+            **self.pool.close_counts, **self.frontend.counts, **(acceptor.counts if acceptor else {})})
         if has_stats or has_closes:
             log("resources " + self._resource_summary())
 
--- a/tests/proxy_harness.py
+++ b/tests/proxy_harness.py
@@ -249,10 +249,10 @@
 
     async def start(self) -> None:
         self.task = asyncio.create_task(self.proxy.run())
-        await wait_until(lambda: self.proxy.frontend.server is not None)
-        server = self.proxy.frontend.server
-        assert server is not None
-        self.port = server.sockets[0].getsockname()[1]
+        await wait_until(lambda: self.proxy.frontend.acceptor is not None)
+        acceptor = self.proxy.frontend.acceptor
+        assert acceptor is not None
+        self.port = acceptor.listener.getsockname()[1]
 
     def ended_attempts(self) -> list[api.AttemptEnded]:
         return [event for event in self.events if isinstance(event, api.AttemptEnded)]
