Shut a half-written request down without a further descriptor

Callers would see: a request with no answer, as its attempt is aborted when the process has no descriptor left.

Cause: os.dup in Connection._shutdown_socket raises EMFILE, from the middle of an abort, so that the connection stays in the pool and the attempt's outcome is never handled.

Change: the socket is borrowed by its descriptor and detached again; nothing is duplicated.

Evidence: the test of a half-written request, run with os.dup failing, ended with OSError on the state before and passes.

--- a/honeywharf/net/backend.py
+++ b/honeywharf/net/backend.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import select
 import socket
 from collections import Counter, deque
@@ -280,10 +279,15 @@
         """Shut down the socket, so that the rest of the request cannot be sent any more.
 
         When a connection closes, the event loop tries once more to write its buffer. The backend could then
-        execute a request whose outcome says that it was not executed.
+        execute a request whose outcome says that it was not executed. The descriptor is not duplicated for
+        this: there may be none left.
         """
-        with socket.socket(fileno=os.dup(self.file_descriptor)) as duplicate, suppress(OSError):
-            duplicate.shutdown(socket.SHUT_RDWR)  # fails if the backend has already closed the connection
+        with suppress(OSError):  # fails if the backend has already closed the connection
+            borrowed = socket.socket(fileno=self.file_descriptor)
+            try:
+                borrowed.shutdown(socket.SHUT_RDWR)
+            finally:
+                borrowed.detach()
 
     def remove_from_pool(self) -> None:
         """Remove the connection from the pool. This must be called only once; later input is ignored."""
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 import socket
 from contextlib import suppress
@@ -257,6 +258,16 @@
         return await self.loop.create_connection(factory, sock=connection)
 
 
+@pytest.fixture(params=[False, True], ids=["descriptors left", "no descriptor left"])
+def without_descriptors(request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let the process have no descriptor left to duplicate one."""
+    if request.param:
+        def fail(_: int) -> int:
+            raise OSError(errno.EMFILE, "injected")
+        monkeypatch.setattr(os, "dup", fail)
+
+
+@pytest.mark.usefixtures("without_descriptors")
 def test_a_request_aborted_half_written_never_arrives_whole() -> None:
     """The event loop tries once more to write its buffer when a connection is closed.
 
