--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,3 +31,9 @@
     assert broken_rules(
         least_memory(101, "full_log"), least_memory(102, "closed_log"),
         least_memory(103, "stalled_log")) == {}
+
+
+def test_no_list_of_discovery_takes_the_process_over_its_memory_limit() -> None:
+    assert broken_rules(
+        least_memory(111, "endless_list"), least_memory(112, "long_list"),
+        least_memory(113, "many_changes")) == {}
