Parse what backends and discovery send in turns, like the input of clients

Cause: up to 256 KB of a response were read and parsed in one callback, 16 ms in chunks of two bytes and 50 ms and more in chunks of one, again and again. The turns that limit this for clients were not applied to the other peers. A related fault: when all incomplete responses together held too much, the one whose bytes came last failed, not the one that held the most.

Change: connections to backends and to discovery read 8 KiB at once and parse in turns of 1 ms an iteration (net/paced_protocol.py); a response in more than 512 parts waits for the others; what waits is counted in the budget, is parsed before the end of a connection is handled, and is no silence of the backend. The largest incomplete response is dropped first.

--- a/honeywharf/net/backend.py
+++ b/honeywharf/net/backend.py
@@ -8,7 +8,7 @@
 from collections import Counter, deque
 from contextlib import suppress
 from dataclasses import dataclass, field
-from typing import Protocol, cast
+from typing import Protocol
 
 from honeywharf import interface as api
 from honeywharf.net import http1, response_reader
@@ -16,7 +16,9 @@
 from honeywharf.net.clock import Clock
 from honeywharf.net.close_reason import BackendCloseReason
 from honeywharf.net.config import Address
+from honeywharf.net.input_scheduler import InputScheduler
 from honeywharf.net.memory_budget import MemoryBudget
+from honeywharf.net.paced_protocol import PacedProtocol
 
 # A connection stays idle for at most this share of the shortest idle time after which its backend was
 # observed to close a connection.
@@ -29,6 +31,8 @@
 # deadline of the request.
 RESPONSE_READ_TIMEOUT_S = 0.5
 RESPONSE_TIMEOUT_S = 2.0
+# A response in more parts than this is parsed when no other one waits.
+COSTLY_PART_COUNT = 512
 
 Outcome = api.Outcome
 # The outcome of a response that is malformed, incomplete or too large. The backend is up and has executed the
@@ -52,6 +56,7 @@
     loop: asyncio.AbstractEventLoop
     clock: Clock
     response_memory: MemoryBudget  # of all responses that are incomplete
+    input_scheduler: InputScheduler
     counts: Counter[str]  # event counters for the `stats` line of the log
     close_counts: Counter[str]  # the same, of closes by their reason
 
@@ -61,6 +66,9 @@
     def connection_closed(self, connection: Connection) -> None:
         """Remove a closed connection from the pool."""
 
+    def free_response_memory(self) -> None:
+        """Drop incomplete responses until they keep their budget."""
+
     def fail_unsent(self, call: Call, outcome: api.Outcome) -> None:
         """End a call of which no byte has been written."""
 
@@ -95,16 +103,17 @@
     slow_timer: asyncio.TimerHandle | None = None  # sets `slow` when it fires
 
 
-class Connection(asyncio.Protocol):
+class Connection(PacedProtocol):
     """A connection to a backend. It carries one call at a time, and writes each call at most once."""
 
     __slots__ = (
         "backend", "buffered_bytes", "call", "closed", "file_descriptor", "has_unwritten_data",
         "idle_since_ms", "last_read_ms", "last_response_ms", "pool", "reader", "response_started_ms",
-        "response_timer", "transport",
+        "response_timer",
     )
 
     def __init__(self, pool: ConnectionOwner, backend: Backend) -> None:
+        super().__init__(pool.input_scheduler)
         self.pool, self.backend = pool, backend
         self.call: Call | None = None
         self.reader = response_reader.ResponseReader()
@@ -116,7 +125,7 @@
         # These four describe the current response while it is incomplete.
         self.response_timer: asyncio.TimerHandle | None = None
         self.response_started_ms = self.last_read_ms = 0.0
-        self.buffered_bytes = 0
+        self.buffered_bytes = 0  # with what waits to be parsed
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -124,7 +133,7 @@
 
         With a high-water mark of 0, the loop calls `pause_writing` whenever a write is not sent at once.
         """
-        self.transport = cast(asyncio.Transport, transport)
+        super().connection_made(transport)
         self.transport.set_write_buffer_limits(high=0)
         self.idle_since_ms = self.pool.clock.now()
         self.file_descriptor = self.transport.get_extra_info("socket").fileno()
@@ -156,13 +165,29 @@
             # The write failed at once, so nothing was sent.
             self.has_unwritten_data = True
 
-    def data_received(self, data: bytes) -> None:
-        """Feed the response reader; unsolicited bytes close the connection."""
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse a part of a response, or let it wait for its turn; unsolicited bytes close the connection."""
         if self.closed:
             return
         if self.call is None:
             self.close(BackendCloseReason.UNSOLICITED_DATA)
             return
+        if self.response_timer is None:
+            self.response_started_ms = self.pool.clock.now()
+        self.buffered_bytes += nbytes
+        self.pool.response_memory.change(nbytes)
+        super().buffer_updated(nbytes)
+        if self.pool.response_memory.exceeded:
+            self.pool.free_response_memory()
+
+    def in_long_message(self) -> bool:
+        """Return whether the response has cost much time already."""
+        return self.reader.part_count >= COSTLY_PART_COUNT
+
+    def parse(self, data: bytes) -> None:
+        """Feed the response reader, and end the call if its response is complete or malformed."""
+        if self.closed or self.call is None:
+            return
         try:
             response = self.reader.feed(data)
         except http1.MalformedMessageError:
@@ -176,18 +201,15 @@
             self._finish_call(outcome_of_response(response), response, reusable=reusable)
             return
         self.last_read_ms = self.pool.clock.now()
-        self.buffered_bytes += len(data)
-        self.pool.response_memory.change(len(data))
-        if self.pool.response_memory.exceeded:
-            self._finish_call(UNREADABLE_RESPONSE_OUTCOME, None)
-        elif self.response_timer is None:
-            self.response_started_ms = self.last_read_ms
+        if self.response_timer is None:
             self.response_timer = self.pool.loop.call_later(
                 RESPONSE_READ_TIMEOUT_S, self._check_response_timeout)
 
     def _check_response_timeout(self) -> None:
         """Fail the call if its response has exceeded a timeout; otherwise check again when one expires."""
         self.response_timer = None
+        if self.unparsed:  # it is not the backend's fault that no more is read
+            self.last_read_ms = self.pool.clock.now()
         due_ms = min(
             self.last_read_ms + RESPONSE_READ_TIMEOUT_S * 1000.0,
             self.response_started_ms + RESPONSE_TIMEOUT_S * 1000.0,
@@ -198,6 +220,11 @@
         else:
             self._finish_call(UNREADABLE_RESPONSE_OUTCOME, None)
 
+    def fail_response(self) -> None:
+        """End the call as failed, because its response is incomplete and memory is scarce."""
+        self.pool.counts["responses dropped for memory"] += 1
+        self._finish_call(UNREADABLE_RESPONSE_OUTCOME, None)
+
     def _reset_response_tracking(self) -> None:
         self.pool.response_memory.change(-self.buffered_bytes)
         self.buffered_bytes = 0
@@ -219,6 +246,7 @@
 
         For an idle connection, this also updates the backend's `max_idle_ms`.
         """
+        self.parse_unparsed()
         if self.call is not None:
             self._finish_call_at_eof()
         elif not self.closed:
@@ -242,6 +270,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the call, because the connection was lost."""
+        self.parse_unparsed()
         if self.call is not None:
             self._cut_off_call("calls ended by reset")
         elif not self.closed:
--- a/honeywharf/net/client_connection.py
+++ b/honeywharf/net/client_connection.py
@@ -10,12 +10,9 @@
 from honeywharf.net.arrival_times import ArrivalTimes
 from honeywharf.net.clock import Clock
 from honeywharf.net.close_reason import CloseReason
-from honeywharf.net.input_scheduler import InputScheduler
+from honeywharf.net.input_scheduler import READ_BUFFER_BYTES, InputScheduler
 from honeywharf.net.memory_budget import MemoryBudget
 
-#: How much is read from a connection at once. The rest stays in the operating system, which makes the client
-#: wait once it holds enough.
-READ_BUFFER_BYTES = 8 * 1024
 #: The most input that is held while a request is served or a response is unread. A client that sends more
 #: while its request is served loses the connection once it has the responses to what is held. It is enough
 #: for two requests of any size.
@@ -38,7 +35,6 @@
     loop: asyncio.AbstractEventLoop
     clock: Clock
     draining: bool  # the last response closes its connection
-    read_buffer: memoryview  # all connections read into it, one after another
     input_scheduler: InputScheduler
     client_memory: MemoryBudget  # what all connections hold
     lingering: dict[ClientConnection, None]  # the connections whose last response has been sent
@@ -137,7 +133,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read."""
-        return self.owner.read_buffer
+        return self.owner.input_scheduler.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Take the input that was read, and parse it if it is this connection's turn."""
@@ -149,7 +145,7 @@
             self.has_dropped_input = True
             return
         self.arrival_times.add(nbytes, arrived_ms)
-        self.reader.receive(bytes(self.owner.read_buffer[:nbytes]))
+        self.reader.receive(bytes(self.owner.input_scheduler.read_buffer[:nbytes]))
         if self._is_busy() or self.queued:
             self._pause_if_not_serving()
             self._count_memory()
--- a/honeywharf/net/connection_pool.py
+++ b/honeywharf/net/connection_pool.py
@@ -13,6 +13,7 @@
 from honeywharf.net.close_reason import BackendCloseReason
 from honeywharf.net.config import Address
 from honeywharf.net.connect_times import ConnectTimes
+from honeywharf.net.input_scheduler import InputScheduler
 from honeywharf.net.memory_budget import MAX_RESPONSE_MEMORY_BYTES, MemoryBudget
 
 # A backend closes an idle connection at the latest after the idle timeout in the settings, counted from its
@@ -45,6 +46,8 @@
         self.total_connections = 0  # established or pending
         self.handshakes = 0  # connects started
         self.response_memory = MemoryBudget(max_response_memory_bytes)  # of all responses that are incomplete
+        self.input_scheduler = InputScheduler(loop, clock)
+        self.established: set[Connection] = set()
         self.slow_connect_count = 0  # connects that exceeded the slow-connect threshold
         self.counts: Counter[str] = Counter()  # event counters for the `stats` line of the log
         self.close_counts: Counter[str] = Counter()  # the same, of closes by their reason
@@ -268,6 +271,7 @@
             connection.close(BackendCloseReason.CONNECT_FAILED)
             self._connect_failed(pending, backend, outcome)
             return
+        self.established.add(connection)
         self.connect_times.add(self.clock.now() - pending.started_ms)
         if not pending.slow:
             backend.consecutive_slow_connects = 0
@@ -304,9 +308,16 @@
     def connection_closed(self, connection: Connection) -> None:
         """Remove a closed connection from the pool."""
         self.total_connections -= 1
+        self.established.discard(connection)
         if connection in connection.backend.idle_connections:
             connection.backend.idle_connections.remove(connection)
 
+    def free_response_memory(self) -> None:
+        """Drop incomplete responses until they keep their budget, those that hold the most first."""
+        while self.response_memory.exceeded and (
+                holding := [c for c in self.established if c.call is not None and c.buffered_bytes]):
+            max(holding, key=lambda c: c.buffered_bytes).fail_response()
+
     def _evict_idle(self) -> bool:
         """Close the connection that has been idle for the longest time, and return whether there was one."""
         candidates = [
--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -30,6 +30,7 @@
 from honeywharf.net.config import Address
 from honeywharf.net.discovery_connection import DiscoveryConnection
 from honeywharf.net.endpoint_directory import EndpointDirectory, OlderGenerationError
+from honeywharf.net.input_scheduler import InputScheduler
 from honeywharf.net.list_expiry import ListExpiry
 from honeywharf.net.log import log
 from honeywharf.policy.list_freshness import MAX_POLL_GAP_MS, ListFreshness
@@ -94,6 +95,7 @@
         drain_grace_ms = rules.drain_grace_ms
         self.loop, self.clock, self.address, self.directory = loop, clock, address, directory
         self.notify = notify
+        self.input_scheduler = InputScheduler(loop, clock)
         self.balancer_requests_watches = balancer_requests_watches
         # Where lists are pushed and the agent was down, the propagation deadline of all changes that the
         # agent has comes as soon as the agent returns, whether or not the proxy has polled again. With a
--- a/honeywharf/net/discovery_connection.py
+++ b/honeywharf/net/discovery_connection.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
-from typing import Protocol, cast
+from typing import Protocol
 
 from honeywharf.net import response_reader
+from honeywharf.net.input_scheduler import InputScheduler
+from honeywharf.net.paced_protocol import PacedProtocol
 
 MAX_LIST_BYTES = 16 * 1024 * 1024
 
@@ -14,6 +15,7 @@
     """The part of the discovery client that its connection needs."""
 
     connection: DiscoveryConnection | None  # the connection in use
+    input_scheduler: InputScheduler
 
     def data_received(self, connection: DiscoveryConnection, data: bytes) -> None:
         """Process the data received on the connection in use."""
@@ -25,36 +27,38 @@
         """Handle the loss of the connection in use."""
 
 
-class DiscoveryConnection(asyncio.Protocol):
+class DiscoveryConnection(PacedProtocol):
     """One connection to discovery; it notifies its owner only while the owner uses it.
 
     Otherwise late data on an abandoned connection, or its loss, would affect the one that replaced it.
     """
 
-    __slots__ = ("owner", "reader", "transport")
+    __slots__ = ("owner", "reader")
 
     def __init__(self, owner: ConnectionOwner) -> None:
+        super().__init__(owner.input_scheduler)
         self.owner = owner
         self.reader = response_reader.ResponseReader(MAX_LIST_BYTES)
-        self.transport: asyncio.Transport | None = None
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport, on which the owner writes its polls."""
-        self.transport = cast(asyncio.Transport, transport)
+    def in_long_message(self) -> bool:
+        """Return False: there is only one connection to discovery."""
+        return False
 
-    def data_received(self, data: bytes) -> None:
+    def parse(self, data: bytes) -> None:
         """Pass the data to the owner if it still uses this connection."""
         if self.owner.connection is self:
             self.owner.data_received(self, data)
 
     def eof_received(self) -> bool:
         """Report the end of the input, before the connection closes, if the owner still uses it."""
+        self.parse_unparsed()
         if self.owner.connection is self:
             self.owner.eof_received(self)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the loss to the owner if it still uses this connection."""
+        self.parse_unparsed()
         if self.owner.connection is self:
             self.owner.connection_lost()
 
--- a/honeywharf/net/frontend.py
+++ b/honeywharf/net/frontend.py
@@ -9,7 +9,7 @@
 
 from honeywharf.net import http1
 from honeywharf.net.acceptor import Acceptor
-from honeywharf.net.client_connection import READ_BUFFER_BYTES, ClientConnection
+from honeywharf.net.client_connection import ClientConnection
 from honeywharf.net.clock import Clock
 from honeywharf.net.close_reason import LOGGED_CLOSE_REASONS, CloseReason
 from honeywharf.net.config import Address
@@ -47,7 +47,6 @@
         self.can_serve, self.event_log = can_serve, event_log
         self.counts: Counter[str] = Counter()  # event counters for the `stats` line of the log
         self.client_memory = MemoryBudget(max_memory_bytes)
-        self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self.input_scheduler = InputScheduler(loop, clock)
         self.connections: set[ClientConnection] = set()
         # Each group holds connections without a complete request, in the order in which they entered it.
--- a/honeywharf/net/input_scheduler.py
+++ b/honeywharf/net/input_scheduler.py
@@ -1,8 +1,8 @@
-"""Shares the time that the proxy spends on the input of clients between their connections.
+"""Shares the time that the proxy spends on the input of its peers between their connections.
 
-Parsing is the only work that clients can cause without limit: a client may send as fast as the proxy reads.
-So the input is parsed in turns of limited length. Between two turns, the event loop runs its timers, and
-passes on attempts, responses and new connections.
+Parsing is the only work that a peer can cause without limit: it may send as fast as the proxy reads. So the
+input of clients, that of backends and that of discovery are each parsed in turns of limited length. Between
+two turns, the event loop runs its timers, and passes on attempts, responses and new connections.
 """
 
 from __future__ import annotations
@@ -12,9 +12,11 @@
 
 from honeywharf.net.clock import Clock, Loop
 
-#: The input of clients is parsed for at most about this long in one iteration of the event loop. The loop
-#: accepts one connection in each iteration.
+#: The input of one kind of peers is parsed for at most about this long in one iteration of the event loop.
 MAX_TURN_MS = 1.0
+#: How much is read from a connection at once. The rest stays in the operating system, which makes the peer
+#: wait once it holds enough.
+READ_BUFFER_BYTES = 8 * 1024
 
 
 class InputConsumer(Protocol):
@@ -36,6 +38,7 @@
 
     def __init__(self, loop: Loop, clock: Clock) -> None:
         self.loop, self.clock = loop, clock
+        self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))  # all connections read into it in turn
         self.short: deque[InputConsumer] = deque()
         self.long: deque[InputConsumer] = deque()
         self.spent_ms = 0.0  # of the current turn
--- a/honeywharf/net/message_reader.py
+++ b/honeywharf/net/message_reader.py
@@ -27,6 +27,7 @@
         self.message_bytes = 0  # what has been parsed of the current message, with its framing
         # The size of the input that was framing or trailers alone, since the last part of the body.
         self.framing_bytes = 0
+        self.part_count = 0  # the parts in which the body has been received, each of which costs time
         self.has_progressed = False  # the input that is being parsed ended the head or has a part of the body
         # One buffer, because an object for each part would hold many times the bytes of small parts.
         self.body_buffer = bytearray()
@@ -58,6 +59,7 @@
     def on_message_begin(self) -> None:
         """Start a new message."""
         self.in_head, self.field_count, self.body_buffer = True, 0, bytearray()
+        self.part_count = 0
 
     def on_headers_complete(self) -> None:
         """Expect the body from now on."""
@@ -86,6 +88,7 @@
     def on_body(self, data: bytes) -> None:
         """Add a part of the body."""
         self.has_progressed, self.framing_bytes = True, 0
+        self.part_count += 1
         if len(self.body_buffer) + len(data) > self.max_body_bytes:
             raise MalformedMessageError(413, "the body is too large")
         self.body_buffer += data
