Parse lists entry by entry, and hold each endpoint once

Callers saw: a process over its memory limit after a list of thousands of servers, and above all after a response of discovery that does not end.

Cause: what discovery makes the process hold was not bounded by its memory. The text of a list was held whole, up to 16 MiB, beside copies and the values of all its entries; the readers of given-up connections, which refer to their parsers, waited with all they had read for the garbage collector; the list of the configuration stayed for ever; and each listed backend had a queue, a set and two tables before its first call (1.4 of 2.0 KB).

Change: net/list_parser.py converts each entry as it arrives and drops its text (64 KB held at most); an entry that has not changed is kept once; a reader is freed with its connection; the pool makes the state of a backend at its first call; names are limited to 256 characters, lists to half of the memory but never below 4,096 endpoints. For the time that lists take: they are parsed in the turns of their input, and policy/poll_pacing.py pauses up to 100 ms before a poll once lists take over 0.3 of the time.

Evidence: the test of the three kinds of list failed on the state before and passes. The whole suite passes.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -14,7 +14,6 @@
 
 import uvloop
 
-from honeywharf import interface as api
 from honeywharf.balancer import Balancer
 from honeywharf.net import config
 from honeywharf.net.clock import Clock
@@ -24,7 +23,7 @@
 from honeywharf.net.endpoint_directory import EndpointDirectory
 from honeywharf.net.frontend import Frontend
 from honeywharf.net.log import install_log_stream, log
-from honeywharf.net.memory_budget import split_message_memory
+from honeywharf.net.memory_budget import max_endpoints, split_message_memory
 from honeywharf.net.passing_errors import PASSING_START_ERRNOS
 from honeywharf.net.resource_monitor import ResourceMonitor
 from honeywharf.net.stats_reporter import StatsReporter
@@ -76,7 +75,7 @@
         self.driver = Driver(
             configuration.settings, Balancer(configuration.settings, configuration.seed), self.pool, loop,
             self.clock, configuration.configured_report_names)
-        self.directory = EndpointDirectory(self.pool)
+        self.directory = EndpointDirectory(self.pool, max_endpoints(configuration.max_memory_bytes))
         self.discovery_client = DiscoveryClient(
             loop, self.clock, configuration.discovery, self.directory, self.driver.handle_discovery_event,
             balancer_requests_watches=configuration.settings.polled_discovery,
@@ -102,7 +101,8 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(signal_number, self.drain)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
-        cached_list = self.directory.apply(self.configuration.cached_list, api.ListKind.CACHED)
+        cached_list = self.directory.apply_cached(self.configuration.cached_list)
+        self.configuration = replace(self.configuration, cached_list={})  # it may be long
         # The cached list is expired until discovery has responded.
         self.driver.start(replace(cached_list, expires_at_ms=float("-inf")))
         host, port = self.frontend.listen(self.configuration.listen)
@@ -197,6 +197,7 @@
 
     loop.set_exception_handler(log_unhandled_error)
     proxy = Proxy(configuration, loop)
+    del configuration  # its cached list may be long
     if early_signals:
         loop.call_soon(proxy.reload)
     await proxy.run()
--- a/honeywharf/net/backend.py
+++ b/honeywharf/net/backend.py
@@ -8,7 +8,7 @@
 from collections import Counter, deque
 from contextlib import suppress
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from honeywharf import interface as api
 from honeywharf.net import http1, response_reader
@@ -73,13 +73,23 @@
         """End a call of which no byte has been written."""
 
 
+class BackendAddress(NamedTuple):
+    """What the endpoint list says of a backend."""
+
+    address: Address
+    started_ms: float | None
+    accepts_calls: bool
+
+    def is_same_process(self, other: BackendAddress) -> bool:
+        """Return whether the other one is the same process, at the same address."""
+        return (self.address, self.started_ms) == (other.address, other.started_ms)
+
+
 @dataclass(slots=True, eq=False)
 class Backend:
-    """An address from the endpoint list, with its idle connections and the calls that wait for one."""
+    """A backend that has been called, with its idle connections and the calls that wait for one."""
 
     address: Address
-    started_ms: float | None
-    host: bytes  # the value of the Host header
     accepts_calls: bool = True  # if not, its connections are closed after use
     # A little less than the idle time after which the backend was observed to close connections.
     max_idle_ms: float = float("inf")
@@ -159,7 +169,8 @@
         self.call, call.connection = call, self
         call.written_ms = now = self.pool.clock.now()
         time_left = b"" if call.is_probe else http1.time_left_header(call.deadline_at_ms - now)
-        host = b"Host: %b\r\n" % self.backend.host if call.is_probe else b""
+        host = b"Host: %b:%d\r\n" % (
+            self.backend.address[0].encode(), self.backend.address[1]) if call.is_probe else b""
         self.transport.write(b"%b%b%b\r\n%b" % (call.head, host, time_left, call.body))
         if self.transport.is_closing():
             # The write failed at once, so nothing was sent.
--- a/honeywharf/net/connect_times.py
+++ b/honeywharf/net/connect_times.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import statistics
 from collections import deque
 
 # Enough recent connections for a quartile, and few enough to follow a change within seconds.
@@ -34,5 +33,14 @@
         """Return how long a connection may take before it counts as slow."""
         if len(self._recent) < 2:
             return MIN_SLOW_THRESHOLD_MS
-        quartile = statistics.quantiles(self._recent, n=4)[0]
-        return max(MIN_SLOW_THRESHOLD_MS, SLOW_THRESHOLD_FACTOR * quartile)
+        return max(MIN_SLOW_THRESHOLD_MS, SLOW_THRESHOLD_FACTOR * _lower_quartile(sorted(self._recent)))
+
+
+def _lower_quartile(ordered: list[float]) -> float:
+    """Return the lower quartile of at least two ordered values, interpolated like `statistics.quantiles`.
+
+    That module is not imported, as it holds more than half a megabyte of memory.
+    """
+    index = min(max((len(ordered) + 1) // 4, 1), len(ordered) - 1)
+    remainder = len(ordered) + 1 - index * 4
+    return (ordered[index - 1] * (4 - remainder) + ordered[index] * remainder) / 4
--- a/honeywharf/net/connection_pool.py
+++ b/honeywharf/net/connection_pool.py
@@ -7,7 +7,7 @@
 from collections import Counter
 
 from honeywharf import interface as api
-from honeywharf.net.backend import Backend, Connection, PendingConnection
+from honeywharf.net.backend import Backend, BackendAddress, Connection, PendingConnection
 from honeywharf.net.calls import Call
 from honeywharf.net.clock import TIMER_TOLERANCE_MS, Clock
 from honeywharf.net.close_reason import BackendCloseReason
@@ -42,7 +42,8 @@
         self.connect_timeout_s = (limits.connect_timeout_ms or 1000.0) / 1000.0
         self.max_idle_ms = (
             max(0.0, limits.idle_timeout_ms - IDLE_TIMEOUT_MARGIN_MS) if limits.idle_timeout_ms else 60000.0)
-        self.backends: dict[str, Backend] = {}
+        self.endpoints: dict[str, BackendAddress] = {}  # of the current endpoint list
+        self.backends: dict[str, Backend] = {}  # those of the endpoints that have been called
         self.total_connections = 0  # established or pending
         self.handshakes = 0  # connects started
         self.response_memory = MemoryBudget(max_response_memory_bytes)  # of all responses that are incomplete
@@ -64,25 +65,40 @@
 
         If its address or start time has changed, its idle connections are closed and its waiting calls end.
         """
+        current, new = self.endpoints.get(endpoint), BackendAddress(address, started_ms, accepts_calls)
+        self.endpoints[endpoint] = new
+        if current is not None and not new.is_same_process(current):
+            self._forget_backend(endpoint)
         backend = self.backends.get(endpoint)
-        if backend is None or backend.address != address or backend.started_ms != started_ms:
-            if backend is not None:
+        if backend is not None:
+            backend.accepts_calls = accepts_calls
+            if not accepts_calls:
                 self._stop_sending(backend)
-            host = f"{address[0]}:{address[1]}"
-            self.backends[endpoint] = backend = Backend(address, started_ms, host.encode())
-        backend.accepts_calls = accepts_calls
-        if not accepts_calls:
-            self._stop_sending(backend)
 
     def remove_endpoint(self, endpoint: str) -> None:
         """Remove an endpoint, so that nothing is sent to it any more."""
+        self.endpoints.pop(endpoint, None)
+        self._forget_backend(endpoint)
+
+    def has_endpoint(self, endpoint: str) -> bool:
+        """Return whether the endpoint is in the current endpoint list."""
+        return endpoint in self.endpoints
+
+    def _forget_backend(self, endpoint: str) -> None:
         backend = self.backends.pop(endpoint, None)
         if backend is not None:
             self._stop_sending(backend)
 
-    def has_endpoint(self, endpoint: str) -> bool:
-        """Return whether the endpoint is in the current endpoint list."""
-        return endpoint in self.backends
+    def _backend(self, endpoint: str) -> Backend:
+        """Return the state of a listed endpoint's backend.
+
+        It is made at the first call: a proxy with little traffic calls few of thousands of endpoints.
+        """
+        backend = self.backends.get(endpoint)
+        if backend is None:
+            listed = self.endpoints[endpoint]
+            backend = self.backends[endpoint] = Backend(listed.address, accepts_calls=listed.accepts_calls)
+        return backend
 
     def close_idle(self, endpoint: str) -> None:
         """Close the idle connections to an endpoint."""
@@ -104,7 +120,7 @@
 
     def start(self, call: Call) -> None:
         """Send the call on an idle connection, or queue it for the next one that becomes available."""
-        backend = self.backends[call.endpoint]
+        backend = self._backend(call.endpoint)
         connection = self._take_idle_connection(backend)
         if connection is not None:
             connection.send_call(call)
--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -22,18 +22,18 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-import orjson
-
 from honeywharf import interface as api
 from honeywharf.net import http1
 from honeywharf.net.clock import Clock
 from honeywharf.net.config import Address
 from honeywharf.net.discovery_connection import DiscoveryConnection
-from honeywharf.net.endpoint_directory import EndpointDirectory, OlderGenerationError
+from honeywharf.net.endpoint_directory import EndpointDirectory, OlderGenerationError, make_endpoint_list
 from honeywharf.net.input_scheduler import InputScheduler
 from honeywharf.net.list_expiry import ListExpiry
+from honeywharf.net.list_response_reader import OK, ListResponseReader
 from honeywharf.net.log import log
 from honeywharf.policy.list_freshness import MAX_POLL_GAP_MS, ListFreshness
+from honeywharf.policy.poll_pacing import PollPacer
 
 INSTANCES_PATH = "/registry/instances"
 CONNECT_TIMEOUT_MS = 1000.0
@@ -62,7 +62,6 @@
 # A response is logged if it has this many entries, or if a poll other than a long poll took this long.
 MIN_LOGGED_ENTRIES = 20
 MIN_LOGGED_RESPONSE_TIME_MS = 1000.0
-OK = 200
 
 
 @dataclass(slots=True, eq=False)
@@ -78,6 +77,7 @@
     wait_ms: int = 0
     response_started_ms: float | None = None
     response_timer: asyncio.TimerHandle | None = None  # fires if the response is incomplete for too long
+    work_ms: float = 0.0  # the time that its response has taken to parse and to apply
 
 
 class DiscoveryClient:
@@ -116,6 +116,7 @@
         self.may_have_missed_changes = True
         self.consecutive_failures = 0
         self.random = random.Random()
+        self.pacer = PollPacer()
         self.connection: DiscoveryConnection | None = None
         self.poll: Poll | None = None  # the poll in flight
         self.poll_count = 0
@@ -205,7 +206,7 @@
         age_s = (self.clock.now() - self.freshness.last_known_up_to_date_ms) / 1000.0
         age = f"{age_s:.2f} s" if age_s < float("inf") else "unknown"
         poll = f" {self._describe_poll(self.poll)}" if self.poll is not None else ""
-        return (f"generation={self.directory.generation} endpoints={len(self.directory.endpoint_ids)} "
+        return (f"generation={self.directory.generation} endpoints={len(self.directory.entries)} "
                 f"age={age} overdue={'yes' if self.expiry.expired else 'no'}{poll}")
 
     def _describe_poll(self, poll: Poll) -> str:
@@ -286,30 +287,39 @@
             log("discovery: received data while no poll is in flight")
             self._poll_failed()
             return
+        started_ms = self.clock.now()
         if poll.response_started_ms is None:
-            poll.response_started_ms = self.clock.now()
+            poll.response_started_ms = started_ms
         try:
             response = connection.reader.feed(data)
-        except http1.MalformedMessageError as error:
+        except (http1.MalformedMessageError, ValueError) as error:
             self._response_invalid(poll, error)
             return
+        poll.work_ms += self.clock.now() - started_ms
         if response is None:
             self._start_response_timer(poll)
         else:
-            self._process_response(poll, response)
+            self._process_response(poll, response, connection.reader)
 
     def eof_received(self, connection: DiscoveryConnection) -> None:
         """Process a response without a length, which the end of the connection completes."""
-        response = connection.reader.end_of_input()
-        if response is not None and self.poll is not None:
-            self._process_response(self.poll, response)
+        poll = self.poll
+        try:
+            response = connection.reader.end_of_input()
+        except ValueError as error:
+            if poll is not None:
+                self._response_invalid(poll, error)
+            return
+        if response is not None and poll is not None:
+            self._process_response(poll, response, connection.reader)
 
-    def _process_response(self, poll: Poll, response: http1.Response) -> None:
+    def _process_response(self, poll: Poll, response: http1.Response, reader: ListResponseReader) -> None:
         """Apply the list in a response, notify the balancer and send the next poll."""
         if poll.response_timer is not None:
             poll.response_timer.cancel()
+        started_ms = self.clock.now()
         try:
-            event = self._apply(response, poll)
+            event = self._apply(response, reader, poll)
         except OlderGenerationError as error:
             log(f"discovery: {self._describe_poll(poll)}: {error}")
             self._poll_for_full_list()
@@ -317,6 +327,7 @@
         except ValueError as error:
             self._response_invalid(poll, error)
             return
+        poll.work_ms += self.clock.now() - started_ms
         self._poll_succeeded(poll, event, keep_alive=response.keep_alive)
 
     def _response_invalid(self, poll: Poll, error: Exception) -> None:
@@ -338,7 +349,9 @@
         if not self.expiry.expired and not superseded:
             self._expire(f"only part of a response has arrived ({self._describe_poll(poll)})")
 
-    def _apply(self, response: http1.Response, poll: Poll) -> api.EndpointsListed:
+    def _apply(
+        self, response: http1.Response, reader: ListResponseReader, poll: Poll,
+    ) -> api.EndpointsListed:
         """Apply the list in a response to the directory; raise ValueError if the response has none.
 
         A response with another status proves nothing about the list, also if the poll continued a watch: the
@@ -347,7 +360,13 @@
         if response.status != OK:
             raise ValueError(f"unexpected status {response.status}")
         generation = self.directory.generation
-        event = self.directory.apply(orjson.loads(response.body), api.ListKind.FULL if poll.is_full else None)
+        parser = reader.list_parser
+        if parser is None:
+            raise ValueError("the response is empty")
+        parser.finish()
+        event = self.directory.apply(
+            make_endpoint_list(parser.members, parser.entries), api.ListKind.FULL if poll.is_full else None)
+        reader.list_parser = None
         unchanged = (
             event.kind is api.ListKind.CHANGES and not event.endpoints and event.generation == generation)
         previous_list_current_ms = self.freshness.last_known_up_to_date_ms
@@ -379,14 +398,19 @@
             self._close_connection()
         self.may_have_missed_changes = False
         self.expiry.on_list_received()
+        notified_ms = self.clock.now()
         self.notify(event)
+        now_ms = self.clock.now()
+        pause_s = self.pacer.pause_ms(now_ms, poll.work_ms + now_ms - notified_ms) / 1000.0
         if self.poll is not None:
             return  # The balancer requested a poll on this list. The timer is already that poll's timeout.
         if responded_at_once and not is_first and not event.endpoints:
             # Prevents a busy loop with an agent that does not wait for changes.
-            self._set_poll_timer(EMPTY_RESPONSE_PAUSE_S, self._start_next_poll)
+            pause_s = max(pause_s, EMPTY_RESPONSE_PAUSE_S)
+        self._cancel_poll_timer()
+        if pause_s > 0.0:
+            self._set_poll_timer(pause_s, self._start_next_poll)
         else:
-            self._cancel_poll_timer()
             self._start_next_poll()
 
     def _log_response(self, poll: Poll, event: api.EndpointsListed, *, is_first: bool) -> None:
@@ -394,7 +418,7 @@
         is_late = not poll.is_long and self.clock.now() - poll.sent_ms >= MIN_LOGGED_RESPONSE_TIME_MS
         if not (is_first or self.expiry.expired or is_late or len(event.endpoints) >= MIN_LOGGED_ENTRIES):
             return
-        log(f"discovery: {'first response' if is_first else 'response'}, {len(self.directory.endpoint_ids)} "
+        log(f"discovery: {'first response' if is_first else 'response'}, {len(self.directory.entries)} "
             f"endpoints listed: {self._describe_poll(poll)}, {event.summary()}")
 
     def connection_lost(self) -> None:
--- a/honeywharf/net/discovery_connection.py
+++ b/honeywharf/net/discovery_connection.py
@@ -4,17 +4,17 @@
 
 from typing import Protocol
 
-from honeywharf.net import response_reader
+from honeywharf.net.endpoint_directory import EndpointDirectory
 from honeywharf.net.input_scheduler import InputScheduler
+from honeywharf.net.list_response_reader import ListResponseReader
 from honeywharf.net.paced_protocol import PacedProtocol
 
-MAX_LIST_BYTES = 16 * 1024 * 1024
-
 
 class ConnectionOwner(Protocol):
     """The part of the discovery client that its connection needs."""
 
     connection: DiscoveryConnection | None  # the connection in use
+    directory: EndpointDirectory
     input_scheduler: InputScheduler
 
     def data_received(self, connection: DiscoveryConnection, data: bytes) -> None:
@@ -38,7 +38,7 @@
     def __init__(self, owner: ConnectionOwner) -> None:
         super().__init__(owner.input_scheduler)
         self.owner = owner
-        self.reader = response_reader.ResponseReader(MAX_LIST_BYTES)
+        self.reader = ListResponseReader(owner.directory.new_list_parser)
 
     def in_long_message(self) -> bool:
         """Return False: there is only one connection to discovery."""
@@ -61,6 +61,7 @@
         self.parse_unparsed()
         if self.owner.connection is self:
             self.owner.connection_lost()
+        self.reader.close()
 
     def close(self) -> None:
         """Close the connection at once."""
--- a/honeywharf/net/memory_budget.py
+++ b/honeywharf/net/memory_budget.py
@@ -16,6 +16,12 @@
 MAX_RESPONSE_MEMORY_BYTES = 8 * MEGABYTE
 
 
+#: What the proxy holds for each endpoint: its entry, and its state in the pool and in the balancer.
+ENDPOINT_BYTES = 2000
+#: However little memory there is, lists of this many endpoints are accepted.
+MIN_MAX_ENDPOINTS = 4096
+
+
 class MemoryBudget:
     """Counts the bytes that a group of messages holds, against a limit.
 
@@ -46,3 +52,8 @@
     message_memory = max(MIN_MESSAGE_MEMORY_BYTES, available)
     response_memory = min(MAX_RESPONSE_MEMORY_BYTES, message_memory // 2)
     return message_memory - response_memory, response_memory
+
+
+def max_endpoints(max_memory_bytes: int) -> int:
+    """Return how many endpoints a process with this memory limit may list: half of its memory is for them."""
+    return max(MIN_MAX_ENDPOINTS, max_memory_bytes // 2 // ENDPOINT_BYTES)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -370,3 +370,28 @@
             await backend.stop()
         await discovery.stop()
     run_test(main())
+
+
+def test_a_list_is_held_once_and_not_beyond_the_limit_of_its_entries() -> None:
+    """Guards against lists that grow without end, and against a second copy of each entry."""
+    async def main() -> None:
+        backend = await Backend().start()
+        entries = [backend.discovery_entry(name) for name in ("b", "c")]
+        async with synced_proxy(entries) as harness:
+            directory = harness.proxy.directory
+            kept = dict(directory.entries)
+            assert harness.proxy.configuration.cached_list == {}
+            directory.max_endpoints = 3
+            harness.discovery.publish(2, *entries, reset=True)
+            await wait_until(lambda: directory.generation == 2)
+            assert all(directory.entries[name] is entry for name, entry in kept.items())
+            harness.discovery.publish(3, *[backend.discovery_entry(f"n{i}") for i in range(4)], reset=True)
+            await wait_until(lambda: harness.proxy.discovery_client.counts["polls failed"] == 1)
+            harness.discovery.publish(3, *[backend.discovery_entry(f"n{i}") for i in range(2)])
+            await wait_until(lambda: harness.proxy.discovery_client.counts["polls failed"] == 2)
+            assert directory.entries.keys() == kept.keys()
+            harness.discovery.publish(3, backend.discovery_entry("d"))
+            await wait_until(lambda: directory.generation == 3)
+            assert len(directory.entries) == 3
+        await backend.stop()
+    run_test(main())
--- a/tests/test_input_turns.py
+++ b/tests/test_input_turns.py
@@ -58,7 +58,7 @@
     entry = backend.discovery_entry("c", padding="x" * CHUNK_COUNT)
     raw = json.dumps({"generation": 2, "reset": False, "instances": [entry]}).encode()
     harness.discovery.responses.put_nowait(in_byte_chunks(raw))
-    await wait_until(lambda: "c" in harness.proxy.pool.backends)
+    await wait_until(lambda: harness.proxy.pool.has_endpoint("c"))
 
 
 @pytest.mark.usefixtures("disable_response_timeouts")
