Show that parties within their own budgets pass the memory limit together

The test plays lists, crowds and responses at the same time, each of which keeps the limit of 32 MB alone: peaks of 34 to 38 MB on this state.

--- a/soak/crowd.py
+++ b/soak/crowd.py
@@ -1,6 +1,6 @@
 """A crowd of bad clients of one proxy, in a process of its own.
 
-It is started as `python -m soak.crowd KIND HOST PORT SEED`, and runs until it is ended.
+It is started as `python -m soak.crowd KIND HOST PORT SEED DESCRIPTORS`, and runs until it is ended.
 """
 
 from __future__ import annotations
@@ -19,8 +19,9 @@
 VALID = REQUEST + b"Content-Length: 60000\r\n\r\n" + b"x" * 60_000
 SMALL_REQUESTS = b"GET /none HTTP/1.1\r\n\r\n" * 3000
 HOLD_S = 2.5
-# The crowds that hold requests have a third of 1,024 descriptors; the other ones are idle or leave at once.
-REQUEST_CROWD, CONNECTION_CROWD, FLOOD_CROWD = 340, 800, 20
+# How many clients there are, as a share of the proxy's descriptors. Clients may hold a third of these for
+# requests; idle ones may fill them all.
+REQUEST_CROWD, IDLE_CROWD, FLOOD_CROWD, SMALL_CROWD = 0.33, 0.8, 0.02, 0.004
 
 Peer = Callable[["Crowd"], Awaitable[None]]
 
@@ -163,13 +164,14 @@
     writer.transport.abort()
 
 
-PEERS: dict[str, tuple[Peer, int]] = {
+PEERS: dict[str, tuple[Peer, float]] = {
     "half_body": (half_body, REQUEST_CROWD), "short_fields": (short_fields, REQUEST_CROWD),
     "small_chunks": (small_chunks, REQUEST_CROWD), "slow_writers": (slow_writers, REQUEST_CROWD),
-    "noise": (noise, FLOOD_CROWD), "small_requests": (small_requests, 4), "unread_flood": (unread_flood, 4),
+    "noise": (noise, FLOOD_CROWD), "small_requests": (small_requests, SMALL_CROWD),
+    "unread_flood": (unread_flood, SMALL_CROWD),
     "new_names": (new_names, FLOOD_CROWD), "leaving": (leaving, FLOOD_CROWD),
     "half_closed": (half_closed, REQUEST_CROWD), "valid_flood": (valid_flood, FLOOD_CROWD),
-    "megabytes": (megabytes, 4), "idle_crowd": (idle_crowd, CONNECTION_CROWD),
+    "megabytes": (megabytes, SMALL_CROWD), "idle_crowd": (idle_crowd, IDLE_CROWD),
     "connect_storm": (connect_storm, FLOOD_CROWD),
 }
 
@@ -184,12 +186,13 @@
         await asyncio.sleep(0)
 
 
-async def main(kind: str, host: str, port: int, seed: int) -> None:
+async def main(kind: str, host: str, port: int, seed: int, descriptors: int) -> None:
     """Run all clients of a kind at once."""
-    peer, count = PEERS[kind]
+    peer, share = PEERS[kind]
+    count = max(1, int(share * descriptors))
     crowd = Crowd(host, port, seed)
     await asyncio.gather(*(repeat(peer, crowd) for _ in range(count)))
 
 
 if __name__ == "__main__":
-    asyncio.run(main(sys.argv[1], sys.argv[2], int(sys.argv[3]), int(sys.argv[4])))
+    asyncio.run(main(sys.argv[1], sys.argv[2], *map(int, sys.argv[3:6])))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -37,3 +37,11 @@
     assert broken_rules(
         least_memory(111, "endless_list"), least_memory(112, "long_list"),
         least_memory(113, "many_changes")) == {}
+
+
+def test_lists_responses_and_clients_together_keep_the_memory_limit() -> None:
+    """Guards against parties that each keep a budget of their own, and together take more than there is."""
+    assert broken_rules(
+        least_memory(211, "long_list", "small_chunks", seconds=4.0),
+        least_memory(212, "many_changes", "half_body", "endless", seconds=4.0),
+        least_memory(213, "long_list", "slow_writers", "long_responses", seconds=4.0)) == {}
