Limit all parties together by the memory that the process really holds

Callers saw: a process over its memory limit while clients, servers and discovery each stayed within their own budgets (34 to 38 of 32 MB).

Cause: the budgets count the bytes of messages against shares of the limit that were fixed at the start. What the process holds besides (connections, endpoints, the allocator's overhead) was a constant in the code, and nothing looked at the process itself.

Change: policy/overload.py decides by resident memory, open descriptors and the delay of the event loop what may be taken on; net/overload_controller.py measures with each tick of 50 ms, and after each piece of a list, and carries it out: budgets and client connections shrink with what is left, whoever holds most is refused first, freed memory goes back to the system, a list beyond 4,096 endpoints is dropped when memory is exhausted, and new requests are refused while the loop is late for long. Less is held from the start, too: orjson is not loaded for one file (1.4 MB), an endpoint is in one table in place of two, and shares what thousands have in common; the cached list is freed while it is read. Discovery's lists get 4 ms an iteration, so that one of 4,096 entries arrives within the time after which half a list expires the current one.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -24,9 +24,11 @@
 from honeywharf.net.frontend import Frontend
 from honeywharf.net.log import install_log_stream, log
 from honeywharf.net.memory_budget import max_endpoints, split_message_memory
+from honeywharf.net.overload_controller import OverloadController
 from honeywharf.net.passing_errors import PASSING_START_ERRNOS
 from honeywharf.net.resource_monitor import ResourceMonitor
 from honeywharf.net.stats_reporter import StatsReporter
+from honeywharf.policy.overload import OverloadManager, ResourceLimits
 
 # The file descriptors are divided between the proxy itself, the connections to backends, and the clients.
 # A request that is being served holds one descriptor for its client and one for its backend, so there can be
@@ -88,6 +90,12 @@
             loop, self.clock, self.driver, available - max_upstream, client_memory,
             lambda: self.first_list_timed_out or self.discovery_client.initialized, self.driver.event_log)
         self.monitor = ResourceMonitor(loop, self.clock)
+        self.overload = OverloadController(
+            self.clock, self.monitor, OverloadManager(ResourceLimits(
+                configuration.max_memory_bytes, max_sockets, self.frontend.max_connections)),
+            self.frontend, self.pool)
+        self.monitor.on_tick = self.overload.tick
+        self.discovery_client.check_memory = self.overload.check
         self.stats = StatsReporter(
             self.driver, self.discovery_client, self.pool, self.frontend, self.monitor,
             max_memory_bytes=configuration.max_memory_bytes, max_descriptors=max_sockets)
--- a/honeywharf/net/backend.py
+++ b/honeywharf/net/backend.py
@@ -73,17 +73,29 @@
         """End a call of which no byte has been written."""
 
 
-class BackendAddress(NamedTuple):
+class ListedBackend(Protocol):
     """What the endpoint list says of a backend."""
 
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+
+    @property
+    def started_ms(self) -> float | None:
+        """When its process started; another time means another process."""
+
+    @property
+    def accepts_calls(self) -> bool:
+        """Whether calls may be sent to it."""
+
+
+class BackendAddress(NamedTuple):
+    """What the endpoint list says of a backend, by itself."""
+
     address: Address
     started_ms: float | None
     accepts_calls: bool
 
-    def is_same_process(self, other: BackendAddress) -> bool:
-        """Return whether the other one is the same process, at the same address."""
-        return (self.address, self.started_ms) == (other.address, other.started_ms)
-
 
 @dataclass(slots=True, eq=False)
 class Backend:
--- a/honeywharf/net/config.py
+++ b/honeywharf/net/config.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
+import json
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
-import orjson
-
 from honeywharf import codec, interface as api
 from honeywharf.net.passing_errors import PASSING_ERRNOS
 
@@ -64,12 +63,12 @@
         raise ConfigError("NODE_CONFIG is not set")
     try:
         with open(path, "rb") as file:
-            raw = orjson.loads(file.read())
+            raw = json.loads(file.read(), parse_constant=_reject_constant)
     except OSError as error:
         if error.errno in PASSING_ERRNOS:
             raise
         raise ConfigError(f"NODE_CONFIG: {error.strerror or error}") from None
-    except orjson.JSONDecodeError as error:
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"NODE_CONFIG is not JSON: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError("NODE_CONFIG: the file must contain a JSON object")
@@ -79,6 +78,10 @@
         raise ConfigError(f"NODE_CONFIG: {error}") from None
 
 
+def _reject_constant(name: str) -> float:
+    raise ValueError(f"{name} is not a number")
+
+
 def _decode_config(raw: dict[str, Any], environ: Mapping[str, str]) -> Config:
     settings = raw.get("settings")
     if not isinstance(settings, dict):
--- a/honeywharf/net/connection_pool.py
+++ b/honeywharf/net/connection_pool.py
@@ -7,7 +7,7 @@
 from collections import Counter
 
 from honeywharf import interface as api
-from honeywharf.net.backend import Backend, BackendAddress, Connection, PendingConnection
+from honeywharf.net.backend import Backend, BackendAddress, Connection, ListedBackend, PendingConnection
 from honeywharf.net.calls import Call
 from honeywharf.net.clock import TIMER_TOLERANCE_MS, Clock
 from honeywharf.net.close_reason import BackendCloseReason
@@ -42,7 +42,7 @@
         self.connect_timeout_s = (limits.connect_timeout_ms or 1000.0) / 1000.0
         self.max_idle_ms = (
             max(0.0, limits.idle_timeout_ms - IDLE_TIMEOUT_MARGIN_MS) if limits.idle_timeout_ms else 60000.0)
-        self.endpoints: dict[str, BackendAddress] = {}  # of the current endpoint list
+        self.endpoints: dict[str, ListedBackend] = {}  # of the current endpoint list
         self.backends: dict[str, Backend] = {}  # those of the endpoints that have been called
         self.total_connections = 0  # established or pending
         self.handshakes = 0  # connects started
@@ -61,18 +61,22 @@
     def set_endpoint(
         self, endpoint: str, address: Address, started_ms: float | None, *, accepts_calls: bool,
     ) -> None:
+        """Add or update an endpoint by the values that describe it."""
+        self.update_endpoint(endpoint, BackendAddress(address, started_ms, accepts_calls))
+
+    def update_endpoint(self, endpoint: str, listed: ListedBackend) -> None:
         """Add or update an endpoint.
 
         If its address or start time has changed, its idle connections are closed and its waiting calls end.
         """
-        current, new = self.endpoints.get(endpoint), BackendAddress(address, started_ms, accepts_calls)
-        self.endpoints[endpoint] = new
-        if current is not None and not new.is_same_process(current):
+        current, self.endpoints[endpoint] = self.endpoints.get(endpoint), listed
+        if current is not None and (
+                (current.address, current.started_ms) != (listed.address, listed.started_ms)):
             self._forget_backend(endpoint)
         backend = self.backends.get(endpoint)
         if backend is not None:
-            backend.accepts_calls = accepts_calls
-            if not accepts_calls:
+            backend.accepts_calls = listed.accepts_calls
+            if not backend.accepts_calls:
                 self._stop_sending(backend)
 
     def remove_endpoint(self, endpoint: str) -> None:
@@ -328,6 +332,11 @@
         if connection in connection.backend.idle_connections:
             connection.backend.idle_connections.remove(connection)
 
+    def limit(self, *, memory_fraction: float) -> None:
+        """Limit what incomplete responses may hold, and drop those that exceed the limit."""
+        self.response_memory.fraction = memory_fraction
+        self.free_response_memory()
+
     def free_response_memory(self) -> None:
         """Drop incomplete responses until they keep their budget, those that hold the most first."""
         while self.response_memory.exceeded and (
--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -28,11 +28,13 @@
 from honeywharf.net.config import Address
 from honeywharf.net.discovery_connection import DiscoveryConnection
 from honeywharf.net.endpoint_directory import EndpointDirectory, OlderGenerationError, make_endpoint_list
-from honeywharf.net.input_scheduler import InputScheduler
+from honeywharf.net.input_scheduler import MAX_DISCOVERY_TURN_MS, InputScheduler
 from honeywharf.net.list_expiry import ListExpiry
 from honeywharf.net.list_response_reader import OK, ListResponseReader
 from honeywharf.net.log import log
+from honeywharf.net.memory_budget import MIN_MAX_ENDPOINTS
 from honeywharf.policy.list_freshness import MAX_POLL_GAP_MS, ListFreshness
+from honeywharf.policy.overload import MemoryPressure
 from honeywharf.policy.poll_pacing import PollPacer
 
 INSTANCES_PATH = "/registry/instances"
@@ -95,7 +97,9 @@
         drain_grace_ms = rules.drain_grace_ms
         self.loop, self.clock, self.address, self.directory = loop, clock, address, directory
         self.notify = notify
-        self.input_scheduler = InputScheduler(loop, clock)
+        self.input_scheduler = InputScheduler(loop, clock, MAX_DISCOVERY_TURN_MS)
+        # Measures the process, and makes others release memory if it is scarce.
+        self.check_memory: Callable[[], MemoryPressure] = lambda: MemoryPressure.NONE
         self.balancer_requests_watches = balancer_requests_watches
         # Where lists are pushed and the agent was down, the propagation deadline of all changes that the
         # agent has comes as soon as the agent returns, whether or not the proxy has polled again. With a
@@ -296,7 +300,11 @@
             self._response_invalid(poll, error)
             return
         poll.work_ms += self.clock.now() - started_ms
-        if response is None:
+        parser = connection.reader.list_parser
+        if self.check_memory() is MemoryPressure.EXHAUSTED and parser is not None and (
+                len(parser.entries) > MIN_MAX_ENDPOINTS):
+            self._response_invalid(poll, MemoryError("the list takes more memory than there is"))
+        elif response is None:
             self._start_response_timer(poll)
         else:
             self._process_response(poll, response, connection.reader)
--- a/honeywharf/net/endpoint_directory.py
+++ b/honeywharf/net/endpoint_directory.py
@@ -4,7 +4,8 @@
 
 import sys
 from collections.abc import Mapping
-from typing import Any, NamedTuple
+from dataclasses import replace
+from typing import Any, NamedTuple, cast
 
 from honeywharf import interface as api
 from honeywharf.net.config import Address, parse_address
@@ -15,6 +16,7 @@
 
 MAX_START_TIME_MS = 1e15
 MAX_WEIGHT = 1e9
+USUAL_WEIGHT = 1.0  # one object for all endpoints
 MAX_NAME_LENGTH = 256  # of an instance, a zone or a machine type, and of an address
 MAX_LOGGED_INVALID_ENTRIES = 3  # for each list
 NO_ADDRESS: Address = ("", 0)  # for a removed endpoint whose entry has no address
@@ -32,11 +34,21 @@
 
 
 class Entry(NamedTuple):
-    """One entry of a list: an endpoint and its address."""
+    """One entry of a list: an endpoint and its address. The pool keeps it as a `ListedBackend`."""
 
     endpoint: api.Endpoint
     address: Address
 
+    @property
+    def started_ms(self) -> float | None:
+        """When its process started, as discovery states it."""
+        return self.endpoint.started_ms
+
+    @property
+    def accepts_calls(self) -> bool:
+        """Whether calls may be sent to it."""
+        return self.endpoint.state is api.EndpointState.READY
+
 
 def parse_entry(raw: Any) -> Entry:
     """Parse one entry of a list; raise ValueError if it is invalid."""
@@ -57,7 +69,8 @@
         raise ValueError(f"{endpoint_id[:MAX_NAME_LENGTH]}: a name or the address is too long")
     return Entry(
         api.Endpoint(
-            endpoint_id, sys.intern(zone), state, cell, float(started) or None, float(weight),
+            endpoint_id, sys.intern(zone), state, cell, float(started) or None,
+            USUAL_WEIGHT if weight == USUAL_WEIGHT else float(weight),
             sys.intern(machine_type),
         ),
         NO_ADDRESS if removed and not host_port else parse_address(host_port),
@@ -83,7 +96,8 @@
 class EntryConverter:
     """Converts the entries of one list from JSON.
 
-    An entry that has not changed is replaced by that of the current list, so that no second one is kept.
+    An entry that has not changed is replaced by that of the current list, so that no second one is kept. One
+    that has changed shares its id and its address with that.
     """
 
     def __init__(self, current: Mapping[str, Entry], max_entries: int) -> None:
@@ -103,7 +117,10 @@
                 log(f"discovery: skipped an invalid entry: {error}")
             return None
         current = self.current.get(entry.endpoint.id)
-        return current if current == entry else entry
+        if current is None or current == entry:
+            return current or entry
+        address = current.address if current.address == entry.address else entry.address
+        return Entry(replace(entry.endpoint, id=current.endpoint.id), address)
 
 
 class EndpointDirectory:
@@ -112,19 +129,30 @@
     def __init__(self, pool: ConnectionPool, max_endpoints: int = MIN_MAX_ENDPOINTS) -> None:
         self.pool, self.max_endpoints = pool, max_endpoints
         self.generation = 0
-        self.entries: dict[str, Entry] = {}  # by the endpoint's id, without removed ones
+
+    @property
+    def entries(self) -> Mapping[str, Entry]:
+        """The entries of the current list by their endpoint's id, without removed ones; the pool has them."""
+        return cast(Mapping[str, Entry], self.pool.endpoints)
 
     def new_list_parser(self) -> ListParser[Entry]:
         """Return a parser for the next list."""
         return ListParser(EntryConverter(self.entries, self.max_endpoints).convert)
 
     def apply_cached(self, raw: Mapping[str, Any]) -> api.EndpointsListed:
-        """Apply the list of the last run; raise ValueError if it is invalid."""
+        """Apply the list of the last run; raise ValueError if it is invalid.
+
+        The entries are taken out of the list, so that they are not held twice.
+        """
         raw_entries = raw.get("instances")
         if not isinstance(raw_entries, list):
             raise ValueError("the list has no instances")
-        converter = EntryConverter(self.entries, self.max_endpoints)
-        entries = [entry for raw_entry in raw_entries if (entry := converter.convert(raw_entry)) is not None]
+        converter, entries = EntryConverter(self.entries, self.max_endpoints), []
+        raw_entries.reverse()
+        while raw_entries:
+            entry = converter.convert(raw_entries.pop())
+            if entry is not None:
+                entries.append(entry)
         return self.apply(make_endpoint_list(raw, entries), api.ListKind.CACHED)
 
     def apply(self, new: EndpointList, kind: api.ListKind | None = None) -> api.EndpointsListed:
@@ -151,17 +179,11 @@
 
     def _remove_unlisted(self, entries: list[Entry]) -> None:
         for endpoint_id in self.entries.keys() - {entry.endpoint.id for entry in entries}:
-            self._remove(endpoint_id)
+            self.pool.remove_endpoint(endpoint_id)
 
     def _apply_entry(self, entry: Entry) -> None:
         endpoint = entry.endpoint
         if endpoint.state is api.EndpointState.GONE:
-            self._remove(endpoint.id)
+            self.pool.remove_endpoint(endpoint.id)
         elif self.entries.get(endpoint.id) is not entry:
-            self.entries[endpoint.id] = entry
-            ready = endpoint.state is api.EndpointState.READY
-            self.pool.set_endpoint(endpoint.id, entry.address, endpoint.started_ms, accepts_calls=ready)
-
-    def _remove(self, endpoint_id: str) -> None:
-        self.entries.pop(endpoint_id, None)
-        self.pool.remove_endpoint(endpoint_id)
+            self.pool.update_endpoint(endpoint.id, entry)
--- a/honeywharf/net/frontend.py
+++ b/honeywharf/net/frontend.py
@@ -56,6 +56,9 @@
         self.lingering: dict[ClientConnection, None] = {}  # the last response has been sent
         self.acceptor: Acceptor | None = None
         self.draining = False
+        # While a resource is scarce, connections without a request are closed until there are no more.
+        self.preferred_connections = max_connections
+        self.overloaded = False  # whether new requests get a 503, because the event loop is late
         self.refusing_requests = False  # whether new requests get a 503, because the process is about to end
         self.on_all_closed: Callable[[], None] | None = None
 
@@ -103,6 +106,31 @@
             first.close(CloseReason.EVICTED)
         return first is not None
 
+    def limit(self, *, memory_fraction: float, max_connections: int, refuse_requests: bool) -> None:
+        """Limit what clients may hold, and release what exceeds the limits."""
+        self.client_memory.fraction, self.overloaded = memory_fraction, refuse_requests
+        self.preferred_connections = max_connections
+        if self.client_memory.exceeded:
+            self.free_memory()
+        while len(self.connections) > self.preferred_connections and self._close_unused():
+            pass
+
+    def _close_unused(self) -> bool:
+        """Close a connection that has been without a complete request for some time, if there is one."""
+        unused_since_ms = self.clock.now() - MIN_EVICTION_AGE_MS
+        for group in (self.lingering, self.awaiting_first_byte, self.idle):
+            first = next(iter(group), None)
+            if first is None or first.group_entered_ms >= unused_since_ms:
+                continue
+            if not first.has_unwritten_data:
+                first.abort(CloseReason.EVICTED)
+                return True
+        first = next(iter(self.receiving), None)
+        if first is None or first.group_entered_ms >= unused_since_ms:
+            return False
+        first.reject_and_close(http1.SERVICE_UNAVAILABLE, CloseReason.EVICTED)
+        return True
+
     def free_memory(self) -> None:
         """Close connections until the memory that clients hold keeps its budget.
 
@@ -172,7 +200,8 @@
             connection.send_response(404)
         elif self.driver.validation_error(request) is not None:
             connection.reject_and_close(400, CloseReason.INVALID)
-        elif self.refusing_requests or self.driver.at_capacity() or self.client_memory.exceeded:
+        elif (self.refusing_requests or self.overloaded or self.driver.at_capacity()
+                or self.client_memory.exceeded):
             # The request does not reach the balancer, so no backend has executed it.
             reason = self._refusal_reason()
             self.counts[f"refused {reason}"] += 1
@@ -185,6 +214,8 @@
     def _refusal_reason(self) -> str:
         if self.refusing_requests:
             return "stopping"
+        if self.overloaded:
+            return "overloaded"
         return "at capacity" if self.driver.at_capacity() else "memory"
 
     def ready(self) -> bool:
--- a/honeywharf/net/input_scheduler.py
+++ b/honeywharf/net/input_scheduler.py
@@ -14,6 +14,8 @@
 
 #: The input of one kind of peers is parsed for at most about this long in one iteration of the event loop.
 MAX_TURN_MS = 1.0
+#: The same for discovery, whose lists are long and urgent: what they say counts as soon as they are written.
+MAX_DISCOVERY_TURN_MS = 4.0
 #: How much is read from a connection at once. The rest stays in the operating system, which makes the peer
 #: wait once it holds enough.
 READ_BUFFER_BYTES = 8 * 1024
@@ -36,8 +38,8 @@
     however many long ones are being received. At least one of the long ones makes progress in each turn.
     """
 
-    def __init__(self, loop: Loop, clock: Clock) -> None:
-        self.loop, self.clock = loop, clock
+    def __init__(self, loop: Loop, clock: Clock, max_turn_ms: float = MAX_TURN_MS) -> None:
+        self.loop, self.clock, self.max_turn_ms = loop, clock, max_turn_ms
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))  # all connections read into it in turn
         self.short: deque[InputConsumer] = deque()
         self.long: deque[InputConsumer] = deque()
@@ -47,7 +49,7 @@
     def may_process_now(self, consumer: InputConsumer) -> bool:
         """Return whether the current turn has time left, and no other connection comes before this one."""
         others_first = self.short or (self.long and consumer.in_long_message())
-        return not others_first and self.spent_ms < MAX_TURN_MS
+        return not others_first and self.spent_ms < self.max_turn_ms
 
     def process(self, consumer: InputConsumer) -> None:
         """Let a connection parse its input now."""
@@ -69,12 +71,12 @@
     def _run_turn(self) -> None:
         self.next_turn_scheduled, self.spent_ms = False, 0.0
         for _ in range(len(self.short)):  # one that joins the queue meanwhile waits for the next turn
-            if self.spent_ms >= MAX_TURN_MS:
+            if self.spent_ms >= self.max_turn_ms:
                 break
             self.process(self.short.popleft())
         if self.long:
             self.process(self.long.popleft())
-        while self.long and self.spent_ms < MAX_TURN_MS:
+        while self.long and self.spent_ms < self.max_turn_ms:
             self.process(self.long.popleft())
         if self.short or self.long:
             self._schedule_next_turn()
--- a/honeywharf/net/memory_budget.py
+++ b/honeywharf/net/memory_budget.py
@@ -12,6 +12,8 @@
 MESSAGE_MEMORY_SHARE = 1 / 2
 #: Messages may hold this much in any case. Otherwise a process with little memory could serve nothing.
 MIN_MESSAGE_MEMORY_BYTES = 3 * MEGABYTE
+#: A budget allows this much, however scarce the memory of the process is: a few requests of any size.
+MIN_BUDGET_BYTES = 256 * 1024
 #: More than this is of no use to the responses that are being received.
 MAX_RESPONSE_MEMORY_BYTES = 8 * MEGABYTE
 
@@ -26,10 +28,12 @@
     """Counts the bytes that a group of messages holds, against a limit.
 
     What has been received is counted once it is held. If the budget is then exceeded, its owner frees memory.
+    `fraction` is the part of the limit that may be used while the memory of the process is scarce.
     """
 
     def __init__(self, limit_bytes: int) -> None:
         self.limit_bytes = limit_bytes
+        self.fraction = 1.0
         self.used_bytes = 0
 
     def change(self, change_bytes: int) -> None:
@@ -38,8 +42,9 @@
 
     @property
     def exceeded(self) -> bool:
-        """Whether more than the limit is in use."""
-        return self.used_bytes > self.limit_bytes
+        """Whether more is in use than may be."""
+        return self.used_bytes > max(
+            self.fraction * self.limit_bytes, min(self.limit_bytes, MIN_BUDGET_BYTES))
 
 
 def split_message_memory(max_memory_bytes: int) -> tuple[int, int]:
--- a/honeywharf/net/request_reader.py
+++ b/honeywharf/net/request_reader.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 
 import httptools
@@ -33,7 +32,7 @@
         self.request = NO_REQUEST
         self.body_framing = b""  # the header line that announces a body of the current request
         self.content_length: int | None = None  # None if the current request declares none
-        self.completed: deque[Request] = deque()  # at most one, or a few that malformed line ends separate
+        self.completed: list[Request] = []  # at most one, or a few that malformed line ends separate
         self.error: MalformedMessageError | None = None
 
     @property
@@ -66,7 +65,7 @@
                 self.discard()
             if was_in_chunked_body:
                 break
-        return self.completed.popleft() if self.completed else None
+        return self.completed.pop(0) if self.completed else None
 
     def _body_piece_size(self) -> int:
         if self.content_length is None:
--- a/honeywharf/net/resource_monitor.py
+++ b/honeywharf/net/resource_monitor.py
@@ -3,47 +3,44 @@
 from __future__ import annotations
 
 import os
-from dataclasses import dataclass
-from pathlib import Path
+from collections.abc import Callable
 
 from honeywharf.net.clock import Clock, Loop
+from honeywharf.policy.overload import ResourceUsage
 
 #: How often the delay of the event loop is measured.
 TICK_S = 0.05
+#: The descriptors are counted with each so-manieth tick: that may take a fraction of a millisecond.
+TICKS_PER_DESCRIPTOR_COUNT = 10
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-STATM_PATH = Path("/proc/self/statm")
-DESCRIPTORS_PATH = Path("/proc/self/fd")
-
-
-@dataclass(slots=True, frozen=True)
-class ResourceUsage:
-    """What the process holds at one moment.
-
-    `resident_bytes` and `descriptors` are 0 where the operating system does not tell.
-    `loop_delay_ms`: how late the event loop ran its last timer.
-    """
-
-    resident_bytes: int
-    descriptors: int
-    loop_delay_ms: float
+STATM_PATH = "/proc/self/statm"
+DESCRIPTORS_PATH = "/proc/self/fd"
 
 
 class ResourceMonitor:
-    """Measures the resources of this process."""
+    """Measures the resources of this process; `on_tick` is called each time the loop's delay was measured."""
 
     def __init__(self, loop: Loop, clock: Clock) -> None:
         self.loop, self.clock = loop, clock
+        self.on_tick: Callable[[], None] = lambda: None
         self.loop_delay_ms = 0.0
         self.max_loop_delay_ms = 0.0  # since it was last reset
+        self.descriptor_count = 0
         self._tick_due_ms = 0.0
+        self._tick_count = 0
+        self._statm: int | None = None  # a descriptor of the file that states the resident memory
 
     def start(self) -> None:
-        """Measure the delay of the event loop from now on."""
+        """Measure from now on."""
+        try:
+            self._statm = os.open(STATM_PATH, os.O_RDONLY | os.O_CLOEXEC)
+        except OSError:
+            self._statm = None
         self._schedule_tick()
 
     def usage(self) -> ResourceUsage:
-        """Return what the process holds now."""
-        return ResourceUsage(resident_bytes(), open_descriptors(), self.loop_delay_ms)
+        """Return what the process holds now; the descriptors as they were last counted."""
+        return ResourceUsage(self._resident_bytes(), self.descriptor_count, self.loop_delay_ms)
 
     def _schedule_tick(self) -> None:
         self._tick_due_ms = self.clock.now() + TICK_S * 1000.0
@@ -52,15 +49,19 @@
     def _tick(self) -> None:
         self.loop_delay_ms = max(0.0, self.clock.now() - self._tick_due_ms)
         self.max_loop_delay_ms = max(self.max_loop_delay_ms, self.loop_delay_ms)
+        if self._tick_count % TICKS_PER_DESCRIPTOR_COUNT == 0:
+            self.descriptor_count = open_descriptors()
+        self._tick_count += 1
         self._schedule_tick()
-
-
-def resident_bytes() -> int:
-    """Return the resident size of this process, or 0 if it cannot be read."""
-    try:
-        return int(STATM_PATH.read_bytes().split()[1]) * PAGE_BYTES
-    except (OSError, ValueError, IndexError):
-        return 0
+        self.on_tick()
+
+    def _resident_bytes(self) -> int:
+        if self._statm is None:
+            return 0
+        try:
+            return int(os.pread(self._statm, 128, 0).split()[1]) * PAGE_BYTES
+        except (OSError, ValueError, IndexError):
+            return 0
 
 
 def open_descriptors() -> int:
--- a/honeywharf/policy/host_set.py
+++ b/honeywharf/policy/host_set.py
@@ -68,6 +68,7 @@
         self.settings = settings
         self.random = rng
         self.servers: dict[str, Server] = {}
+        self.update_count = 0
         self.zones: dict[str, ZoneLimiter] = {}
         self.usable: list[Server] = []
         self.priority_levels: list[list[Server]] = [[], [], []]
@@ -79,12 +80,13 @@
 
     def update(self, event: api.EndpointsListed, now_ms: float) -> None:
         """Apply a full endpoint list or the changes to the current one."""
-        if event.kind is not api.ListKind.CHANGES:
-            listed_ids = {e.id for e in event.endpoints}
-            for removed_id in [server_id for server_id in self.servers if server_id not in listed_ids]:
-                del self.servers[removed_id]
+        self.update_count += 1
         for endpoint in event.endpoints:
             self._update_server(endpoint, now_ms, event.previous_list_current_ms)
+        if event.kind is not api.ListKind.CHANGES:
+            unlisted = [i for i, s in self.servers.items() if s.last_update != self.update_count]
+            for server_id in unlisted:
+                del self.servers[server_id]
         self.refresh(now_ms)
 
     def _update_server(
@@ -100,8 +102,9 @@
                 endpoint, now_ms, previous_list_current_ms)
             if self._warm_fraction(server, now_ms) < 1.0:
                 self.set_next_warm_up_call_time(server, 0.0, 1.0, now_ms)
+            server.last_update = self.update_count
         else:
-            current.endpoint = endpoint
+            current.endpoint, current.last_update = endpoint, self.update_count
 
     def refresh_if_due(self, now_ms: float) -> None:
         """Refresh if the refresh interval has passed since the last refresh."""
--- a/honeywharf/policy/outlier.py
+++ b/honeywharf/policy/outlier.py
@@ -10,7 +10,7 @@
 from honeywharf import interface as api
 from honeywharf.policy.host_set import HostSet
 from honeywharf.policy.request import Request
-from honeywharf.policy.server import Server
+from honeywharf.policy.server import Server, without
 
 # This many consecutive failures make a server an outlier. A refused connection counts as two, because a
 # process that is dead refuses the next connection too.
@@ -133,8 +133,8 @@
         server.relative_latency += (relative - server.relative_latency) / RELATIVE_LATENCY_WINDOW_RESPONSES
         self.latency.add(class_name, latency_ms)
         server.consecutive_failures = 0
-        server.class_ejected_until_ms.pop(class_name, None)
-        server.class_errors.pop(class_name, None)
+        server.class_ejected_until_ms = without(server.class_ejected_until_ms, class_name)
+        server.class_errors = without(server.class_errors, class_name)
         self.host_set.response_rate.responses += 1
         score_step = relative - SLOW_RELATIVE_LATENCY
         if score_step < 0:
@@ -145,7 +145,8 @@
             self, server: Server, class_name: str, outcome: api.Outcome, now_ms: float) -> None:
         errors = 0
         if outcome is api.Outcome.ERROR:
-            errors = server.class_errors[class_name] = server.class_errors.get(class_name, 0) + 1
+            errors = server.class_errors.get(class_name, 0) + 1
+            server.class_errors = {**server.class_errors, class_name: errors}
         timeout_after_failure = outcome is api.Outcome.TIMEOUT and server.consecutive_failures > 0
         if timeout_after_failure or (errors >= CONSECUTIVE_CLASS_ERRORS_TO_EJECT and (
                 class_name in server.class_ejected_until_ms or self._has_outlier_failure_rate(server))):
@@ -153,7 +154,8 @@
             # successful trial call of another class would readmit it for all of them. A single timeout does
             # not eject the server, because the cause may be a dead connection.
             duration_ms = CLASS_EJECTION_MS * self.random.uniform(*EJECTION_JITTER)
-            server.class_ejected_until_ms[class_name] = now_ms + duration_ms
+            server.class_ejected_until_ms = {
+                **server.class_ejected_until_ms, class_name: now_ms + duration_ms}
         # A refused connection means a dead process. A timeout while connecting may be chance.
         server.consecutive_failures += 2 if outcome is api.Outcome.CONNECT_FAILED else 1
 
