Accept at full speed while accept fails now and then, and evict no new client

Change: it pauses after three errors in a row, and goes on in the next iteration after fewer; with EMFILE it closes connections that have been without a request for 250 ms, and none else.

--- a/honeywharf/net/acceptor.py
+++ b/honeywharf/net/acceptor.py
@@ -18,8 +18,10 @@
 MAX_ACCEPTS_PER_ITERATION = 16
 #: The listener is closed after this many connections at the latest, although clients go on connecting.
 MAX_ACCEPTS_BEFORE_CLOSE = 1024
-#: The pause after an error that lasts for a moment, such as the lack of a file descriptor.
-RETRY_INTERVAL_S = 0.01
+#: After this many errors in a row of a kind that lasts for a moment, such as the lack of a file descriptor,
+#: there is a pause. After fewer, the next iteration of the event loop tries again: many clients may wait.
+ERRORS_BEFORE_PAUSE = 3
+PAUSE_S = 0.01
 #: Errors that concern the connection that was to be accepted, and not the listener (accept(2)).
 CONNECTION_ERRNOS = frozenset({
     errno.ECONNABORTED, errno.EINTR, errno.EPERM, errno.EPROTO, errno.ENETDOWN, errno.ENETUNREACH,
@@ -45,6 +47,7 @@
         self.stopping = False  # the listener is closed as soon as no connection waits
         self.accepts_left = MAX_ACCEPTS_BEFORE_CLOSE  # while stopping
         self.closed = False
+        self._errors_in_row = 0
         self._setup_tasks: set[asyncio.Task[object]] = set()
         listener.setblocking(False)
         loop.add_reader(listener.fileno(), self._accept_waiting)
@@ -85,18 +88,21 @@
             except OSError as error:
                 self.counts["accept errors"] += 1
                 if error.errno not in CONNECTION_ERRNOS:
-                    self._pause(error)
+                    self._handle_shortage(error)
                     return False
             else:
+                self._errors_in_row = 0
                 self._set_up(connection)
         return False
 
-    def _pause(self, error: OSError) -> None:
-        """Go on a moment later. The connections wait in the operating system for so long."""
+    def _handle_shortage(self, error: OSError) -> None:
+        """Go on later. The connections wait in the operating system for so long."""
         if error.errno == errno.EMFILE:
             self.free_descriptor()
-        self.loop.remove_reader(self.listener.fileno())
-        self.loop.call_later(RETRY_INTERVAL_S, self._resume)
+        self._errors_in_row += 1
+        if self._errors_in_row >= ERRORS_BEFORE_PAUSE:
+            self.loop.remove_reader(self.listener.fileno())
+            self.loop.call_later(PAUSE_S, self._resume)
 
     def _resume(self) -> None:
         if not self.closed:
--- a/honeywharf/net/frontend.py
+++ b/honeywharf/net/frontend.py
@@ -67,7 +67,8 @@
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         listener = socket.create_server(address, family=family, backlog=LISTEN_BACKLOG)
         self.acceptor = Acceptor(
-            self.loop, listener, lambda: ClientConnection(self), self._evict, self._notify_if_all_closed)
+            self.loop, listener, lambda: ClientConnection(self), self._close_unused,
+            self._notify_if_all_closed)
         self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         host, port = listener.getsockname()[:2]
         return host, port
