Read a configuration for its address alone on a reload, once for a series of signals

Cause: each reload parsed the whole file, with the values of all entries of the cached list, for the address of discovery; and each signal of a series did so.

Change: an entry is dropped as soon as it is read, and a reload comes 50 ms after its signal, once for all that come until then.

The soak draws the proxy's tier, too.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -57,7 +57,8 @@
 # A restarted proxy must be ready within 10 s, even on a busy machine, so it does not wait longer for a list.
 FIRST_LIST_TIMEOUT_S = 5.0
 STATS_INTERVAL_S = 5.0
-# A start or a reload that fails for lack of a resource is tried again, a start for this time in total.
+# A start or a reload that fails for lack of a resource is tried again, a start for this time in total. A
+# reload comes this long after its signal, as reading a long file takes time and signals come in series.
 RETRY_INTERVAL_S = 0.05
 START_RETRY_S = 5.0
 
@@ -101,14 +102,14 @@
             max_memory_bytes=configuration.max_memory_bytes, max_descriptors=max_sockets)
         self.first_list_timed_out = False
         self.stopped = asyncio.Event()
-        self.reload_timer: asyncio.TimerHandle | None = None  # of a reload that is tried again
+        self.reload_timer: asyncio.TimerHandle | None = None  # of the next reload
         self.environ: Mapping[str, str] = os.environ
 
     async def run(self) -> None:
         """Serve until SIGTERM, and then until the drain has ended."""
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(signal_number, self.drain)
-        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload_soon)
         cached_list = self.directory.apply_cached(self.configuration.cached_list)
         self.configuration = replace(self.configuration, cached_list={})  # it may be long
         # The cached list is expired until discovery has responded.
@@ -125,13 +126,19 @@
         await self.stopped.wait()
         log(f"stopped: {self.driver.open_request_count} open requests")
 
+    def reload_soon(self) -> None:
+        """Reload the configuration in a moment, once for all signals that come until then."""
+        if self.reload_timer is None:
+            self.reload_timer = self.loop.call_later(RETRY_INTERVAL_S, self.reload)
+
     def reload(self) -> None:
         """Apply a changed address of discovery from the configuration file. Nothing else changes."""
+        self.reload_timer = None
         try:
-            configuration = config.load(self.environ)
+            configuration = config.load(self.environ, with_cached_list=False)
         except OSError as error:
             log(f"reload: {error.strerror or error}; trying again")
-            self._reload_later()
+            self.reload_soon()
             return
         except Exception as error:  # no error in the file may end a proxy in service
             log(f"reload: {error or type(error).__name__}; the current configuration stays")
@@ -145,11 +152,6 @@
             log("reload: changes of listen, limits and settings take effect at the next start")
         self.discovery_client.change_address(configuration.discovery)
 
-    def _reload_later(self) -> None:
-        if self.reload_timer is not None:
-            self.reload_timer.cancel()
-        self.reload_timer = self.loop.call_later(RETRY_INTERVAL_S, self.reload)
-
     def drain(self) -> None:
         """Start draining, as for a planned restart (see the documents DEPLOY and PROTOCOL).
 
--- a/honeywharf/net/config.py
+++ b/honeywharf/net/config.py
@@ -53,9 +53,10 @@
     return host.strip("[]"), int(port)
 
 
-def load(environ: Mapping[str, str] = os.environ) -> Config:
+def load(environ: Mapping[str, str] = os.environ, *, with_cached_list: bool = True) -> Config:
     """Load the configuration file that `NODE_CONFIG` names.
 
+    Without its cached list, a long configuration takes little memory.
     Raises ConfigError if it is missing or invalid, and OSError if it cannot be read at the moment.
     """
     path = environ.get("NODE_CONFIG")
@@ -63,7 +64,9 @@
         raise ConfigError("NODE_CONFIG is not set")
     try:
         with open(path, "rb") as file:
-            raw = json.loads(file.read(), parse_constant=_reject_constant)
+            raw = json.loads(
+                file.read(), parse_constant=_reject_constant,
+                object_hook=None if with_cached_list else _drop_entry)
     except OSError as error:
         if error.errno in PASSING_ERRNOS:
             raise
@@ -78,6 +81,11 @@
         raise ConfigError(f"NODE_CONFIG: {error}") from None
 
 
+def _drop_entry(value: dict[str, Any]) -> dict[str, Any]:
+    """Return an empty object in place of an entry of the cached list, as soon as it has been read."""
+    return {} if "instanceId" in value else value
+
+
 def _reject_constant(name: str) -> float:
     raise ValueError(f"{name} is not a number")
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,6 +19,8 @@
 OK, BROKEN, NOT_RUN = 0, 1, 2
 SEED_TIMEOUT_S = 90.0
 MAX_EXAMPLES = 3
+#: The options that take the place of what the seed draws for the scenario.
+OVERRIDES = ("memory_mb", "descriptors", "tier")
 
 
 class SeedError(Exception):
@@ -34,6 +36,7 @@
     parser.add_argument("--seconds", type=float, default=8.0, help="how long the troubles of a seed last")
     parser.add_argument(
         "--kinds", default="", help="play these kinds of trouble, separated by commas, not drawn ones")
+    parser.add_argument("--tier", type=int, help="the tier of the proxy, 0 or 1, in place of a drawn one")
     parser.add_argument("--memory-mb", type=int, help="the memory limit, in place of a drawn one")
     parser.add_argument("--descriptors", type=int, help="the limit of descriptors, in place of a drawn one")
     parser.add_argument("--out", type=Path, help="write all results to this file, as JSON")
@@ -62,8 +65,8 @@
 def play_here(options: argparse.Namespace) -> int:
     """Play one seed in this process, and print its result as JSON."""
     scenario = draw(options.seed, options.kinds, options.seconds)
-    limits = {"memory_mb": options.memory_mb, "descriptors": options.descriptors}
-    scenario = replace(scenario, **{name: limit for name, limit in limits.items() if limit is not None})
+    given = {name: getattr(options, name) for name in OVERRIDES if getattr(options, name) is not None}
+    scenario = replace(scenario, **given)
     result: Result = asyncio.run(play(scenario))
     print(json.dumps({**asdict(result), "valid": result.is_valid}))
     return BROKEN if result.broken else OK
@@ -74,10 +77,9 @@
     command = [
         sys.executable, "-m", "soak", "--json", "--seed", str(seed), "--seconds", str(options.seconds),
         "--kinds", ",".join(options.kinds)]
-    if options.memory_mb is not None:
-        command += ["--memory-mb", str(options.memory_mb)]
-    if options.descriptors is not None:
-        command += ["--descriptors", str(options.descriptors)]
+    for name in OVERRIDES:
+        if getattr(options, name) is not None:
+            command += [f"--{name.replace('_', '-')}", str(getattr(options, name))]
     played = subprocess.run(
         command, capture_output=True, text=True, check=False, timeout=SEED_TIMEOUT_S + options.seconds)
     if played.returncode not in (OK, BROKEN):
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -77,6 +77,7 @@
     deadline_ms: float
     rate_per_s: float
     duration_s: float
+    tier: int
     troubles: tuple[Trouble, ...] = field(default_factory=tuple)
 
     def has(self, name: str) -> bool:
@@ -105,7 +106,8 @@
                 "askEveryMs": 10000.0, "coldShare": 0.12, "graceToAnswerMs": 20.0, "overloadForMs": 2000.0,
                 "stopSendingWithinMs": 250.0, "tipMultiple": 3.0, "warmAfterMs": 24000.0},
             "discovery": "ask" if self.polled else "push", "familyInfo": {"passesDeadline": True},
-            "me": 0, "nInstances": 1, "report": {"fields": [], "how": "silent"}, "tier": 0, "tiers": ["t"],
+            "me": 0, "nInstances": 1, "report": {"fields": [], "how": "silent"}, "tier": self.tier,
+            "tiers": ["first", "second"],
             "profiles": [{"deadlineMs": self.deadline_ms, "lateValue": 0.25, **c} for c in classes],
             "zone": ZONES[0], "zones": list(ZONES)}
 
@@ -129,7 +131,7 @@
         seed=seed, memory_mb=rng.choice((32, 32, 48, 192)), descriptors=rng.choice((256, 512, 1024, 1024)),
         server_count=rng.choice((4, 12, 12, 24)), polled=rng.random() < 0.5,
         deadline_ms=rng.choice((700.0, 1500.0, 1500.0, 3000.0)), rate_per_s=40.0, duration_s=duration_s,
-        troubles=tuple(troubles))
+        tier=rng.choice((0, 0, 1)), troubles=tuple(troubles))
 
 
 def _of_different_parties(rng: random.Random, kinds: list[Kind], count: int) -> list[Kind]:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -17,7 +17,14 @@
 
 from honeywharf.net import config
 from soak.shim import build_library
-from tests.proxy_harness import SETTINGS, WAIT_TIMEOUT_S, run_test, synced_proxy, wait_until
+from tests.proxy_harness import (
+    SETTINGS,
+    WAIT_TIMEOUT_S,
+    discovery_entry,
+    run_test,
+    synced_proxy,
+    wait_until,
+)
 from tests.proxy_process import REPOSITORY_ROOT, ProxyProcess, write_config
 
 
@@ -173,7 +180,8 @@
             moved = replace(proxy.configuration, discovery=("127.0.0.1", 1))
             results: list[config.Config | OSError] = [OSError(errno.ENFILE, "table full"), moved]
 
-            def load(_: object) -> config.Config:
+            def load(_: object, *, with_cached_list: bool) -> config.Config:
+                assert not with_cached_list
                 result = results.pop(0)
                 if isinstance(result, OSError):
                     raise result
@@ -183,3 +191,15 @@
             proxy.reload()
             await wait_until(lambda: proxy.discovery_client.address == moved.discovery)
     run_test(main())
+
+
+def test_reloads_in_a_series_with_a_long_cached_list_keep_the_memory_limit(tmp_path: Path) -> None:
+    """Guards against a configuration that is read whole, list and all, for the address of discovery alone."""
+    known = {"generation": 1, "reset": True, "instances": [
+        discovery_entry(f"backend-{i}", 1000 + i, startedAtMs=1_700_000_000_000 + i) for i in range(4096)]}
+    limits = {"cores": 1.0, "memory_mb": 32, "sockets": 1024}
+    with ProxyProcess(tmp_path, known=known, limits=limits) as proxy:
+        for _ in range(20):
+            proxy.process.send_signal(signal.SIGHUP)
+            assert proxy.get("/nowhere").startswith(b"HTTP/1.1 404 ")
+        assert proxy.peak_memory_bytes() <= 32_000_000
