Forget zones without servers once lists have named hundreds of them

Found by asking what each party makes the process keep: a discovery that names ever new zones makes the balancer keep a limiter for each of them for good.

Change: with more than 256 zones, those without servers and calls are forgotten; with fewer, a zone that loses all its servers keeps its limit, as before.

Evidence: the new test of 1,000 zones fails without the change and passes.

--- a/honeywharf/policy/host_set.py
+++ b/honeywharf/policy/host_set.py
@@ -13,6 +13,9 @@
 #: Interval between recomputations of traffic fractions, priority levels and zone capacities. Failures that
 #: the balancer must react to last much longer.
 REFRESH_INTERVAL_MS = 250.0
+# With more zones than this, those without servers are forgotten. With fewer, a zone that loses all its
+# servers keeps its limit for their return.
+MAX_EMPTY_ZONES = 256
 #: Up to this relative latency, a server gets an equal share of the traffic. A slower one gets a fraction of
 #: that share, which falls with the square of its relative latency.
 FULL_TRAFFIC_LATENCY = 1.2
@@ -87,8 +90,16 @@
             unlisted = [i for i, s in self.servers.items() if s.last_update != self.update_count]
             for server_id in unlisted:
                 del self.servers[server_id]
+        if len(self.zones) > MAX_EMPTY_ZONES:
+            self._forget_empty_zones()
         self.refresh(now_ms)
 
+    def _forget_empty_zones(self) -> None:
+        """Forget the zones without servers and calls: lists may name ever new zones."""
+        listed = {server.endpoint.zone for server in self.servers.values()}
+        self.zones = {
+            name: zone for name, zone in self.zones.items() if name in listed or zone.in_flight > 0}
+
     def _update_server(
             self, endpoint: api.Endpoint, now_ms: float, previous_list_current_ms: float) -> None:
         self.zones.setdefault(endpoint.zone, ZoneLimiter())
--- a/tests/test_host_set.py
+++ b/tests/test_host_set.py
@@ -7,6 +7,7 @@
 import pytest
 
 from honeywharf import interface as api
+from honeywharf.policy.host_set import MAX_EMPTY_ZONES
 from tests.balancer_harness import (
     TWO_ZONE_ENDPOINTS,
     BalancerHarness,
@@ -165,3 +166,14 @@
     harness.feed_list([make_endpoint("a0", started_ms=harness.now_ms), *others])
     sent = [expect_single_send(harness.start_request()).endpoint for _ in range(200)]
     assert sent.count("a0") <= 20
+
+
+def test_zones_that_lists_no_longer_name_are_forgotten_once_there_are_many() -> None:
+    """Guards against memory that grows with a discovery that names ever new zones."""
+    harness = BalancerHarness()
+    host_set = harness.balancer.host_set
+    for number in range(1000):
+        harness.feed_list([*TWO_ZONE_ENDPOINTS, make_endpoint("n", zone=f"zone-{number}")])
+        assert len(host_set.zones) <= MAX_EMPTY_ZONES + 1
+    assert {endpoint.zone for endpoint in TWO_ZONE_ENDPOINTS} < host_set.zones.keys()
+    assert "zone-999" in host_set.zones
