--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -56,7 +56,7 @@
     lines = [
         f"seed {result['seed']} {verdict}: {','.join(result['troubles'])} peak {result['peak_mb']} of "
         f"{result['memory_mb']} MB, {result['requests']} requests {result['ends']} {result['statuses']}, "
-        f"lag {result['lag_s']} s"]
+        f"{result['late']} late, slowest {result['slowest_s']} s, lag {result['lag_s']} s"]
     for rule, examples in result["broken"].items():
         lines += [f"  {rule}: {len(examples)}", *(f"    {example}" for example in examples[:MAX_EXAMPLES])]
     return "\n".join(lines)
--- a/soak/play.py
+++ b/soak/play.py
@@ -26,6 +26,8 @@
 MAX_DEADLINE_S, KILL_AFTER_DEADLINE_S = 3.0, 0.7
 RELOAD_INTERVAL_S = 0.15
 PAUSE_S, PAUSE_INTERVAL_S = 0.12, 0.4
+# A process that gets a third of a core is stopped and runs for this long in turn.
+THROTTLED_SLICES_S = (0.02, 0.01)
 MAX_LOG_LINES = 200
 CHANGE_INTERVAL_S = 0.3
 MAX_LATE_START_S = 0.1  # of an attempt, after its client has left
@@ -44,6 +46,8 @@
     broken: dict[str, list[str]] = field(default_factory=dict)
     peak_mb: float = 0.0
     requests: int = 0
+    late: int = 0  # answers after the client's time
+    slowest_s: float = 0.0  # the longest time to an answer
     ends: dict[str, int] = field(default_factory=dict)
     statuses: dict[str, int] = field(default_factory=dict)
     lag_s: float = 0.0
@@ -135,7 +139,7 @@
         else:
             await {
                 "kill_series": self._kill_series, "reload_series": self._reload_series,
-                "terminate": self._terminate, "pauses": self._pause,
+                "terminate": self._terminate, "pauses": self._pause, "throttled": self._throttle,
             }[trouble.kind.name](trouble)
 
     async def _play_crowd(self, trouble: Trouble) -> None:
@@ -194,21 +198,31 @@
 
     async def _pause(self, trouble: Trouble) -> None:
         """Hold the process up for a moment, again and again."""
+        await self._stop_and_continue(trouble, PAUSE_S, PAUSE_INTERVAL_S)
+
+    async def _throttle(self, trouble: Trouble) -> None:
+        """Give the process a part of a core, in slices."""
+        await self._stop_and_continue(trouble, *THROTTLED_SLICES_S)
+
+    async def _stop_and_continue(self, trouble: Trouble, stopped_s: float, running_s: float) -> None:
         while self.now_s() < trouble.end_s:
             self.proxy.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(PAUSE_S)
+            await asyncio.sleep(stopped_s)
             self.proxy.send_signal(signal.SIGCONT)
-            await asyncio.sleep(PAUSE_INTERVAL_S)
+            await asyncio.sleep(running_s)
 
     # The rules.
 
     def _judge(self) -> Result:
         scenario, requests = self.scenario, self.clients.requests
+        answered = [r for r in requests if r.end is End.ANSWERED]
         result = Result(
             scenario.seed, [t.kind.name for t in scenario.troubles], scenario.memory_mb, scenario.descriptors,
             peak_mb=round(self.proxy.peak_bytes / MEGABYTE, 1), requests=len(requests),
             ends=dict(Counter(r.end.value for r in requests)),
-            statuses=dict(Counter(str(r.status) for r in requests if r.end is End.ANSWERED)),
+            statuses=dict(Counter(str(r.status) for r in answered)),
+            late=sum(r.ended_s > r.sent_s + r.time_left_s for r in answered),
+            slowest_s=round(max((r.ended_s - r.sent_s for r in answered), default=0.0), 3),
             lag_s=round(self.lag_s, 3))
         broken: dict[str, list[str]] = {
             "process": list(self.proxy.problems),
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -49,7 +49,8 @@
     *(Kind(name, Party.DISCOVERY) for name in (
         "long_list", "many_changes", "byte_chunked_list", "endless_list", "garbage", "silent", "resets")),
     *(Kind(name, Party.LOG, whole_run=True) for name in ("full_log", "stalled_log", "closed_log")),
-    *(Kind(name, Party.SIGNALS) for name in ("kill_series", "reload_series", "terminate", "pauses")),
+    *(Kind(name, Party.SIGNALS) for name in (
+        "kill_series", "reload_series", "terminate", "pauses", "throttled")),
     *(Kind(name, Party.SYSTEM, whole_run=True) for name in (
         "accept_errors", "socket_errors", "short_io", "interrupted", "clock_step")),
 )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,8 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+
 from soak.play import Result, play
 from soak.scenario import Scenario, draw
 
@@ -45,3 +47,16 @@
         least_memory(211, "long_list", "small_chunks", seconds=4.0),
         least_memory(212, "many_changes", "half_body", "endless", seconds=4.0),
         least_memory(213, "long_list", "slow_writers", "long_responses", seconds=4.0)) == {}
+
+
+@pytest.mark.parametrize("first_seed", [5001, 5004, 5007])
+def test_drawn_faults_break_no_rule(first_seed: int) -> None:
+    seeds = range(first_seed, first_seed + 3)
+    assert broken_rules(*(draw(seed, duration_s=3.0) for seed in seeds)) == {}
+
+
+def test_a_process_that_starts_again_and_again_under_a_crowd_keeps_its_memory_limit() -> None:
+    """Guards against a start in which all clients of the life before come back at once."""
+    assert broken_rules(
+        least_memory(221, "kill_series", "half_body", seconds=4.0),
+        least_memory(222, "kill_series", "small_chunks", "full_log", seconds=4.0)) == {}
