Split polls and the backoff out of the discovery client

A poll knows its target and its description (net/poll.py), and the backoff is a class of its own (net/backoff.py). Behaviour is unchanged: the whole suite passes, in which three waits read the number of failures at its new place.

--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -17,13 +17,13 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from honeywharf import interface as api
 from honeywharf.net import http1
+from honeywharf.net.backoff import INITIAL_RANGE_S, Backoff
 from honeywharf.net.clock import Clock
 from honeywharf.net.config import Address
 from honeywharf.net.discovery_connection import DiscoveryConnection
@@ -33,11 +33,11 @@
 from honeywharf.net.list_response_reader import OK, ListResponseReader
 from honeywharf.net.log import log
 from honeywharf.net.memory_budget import MIN_MAX_ENDPOINTS
+from honeywharf.net.poll import Poll
 from honeywharf.policy.list_freshness import MAX_POLL_GAP_MS, ListFreshness
 from honeywharf.policy.overload import MemoryPressure
 from honeywharf.policy.poll_pacing import PollPacer
 
-INSTANCES_PATH = "/registry/instances"
 CONNECT_TIMEOUT_MS = 1000.0
 # A discovery agent counts as down if it does not respond for this long to a poll that does not wait for
 # changes. An agent that is up starts its response within milliseconds.
@@ -54,10 +54,8 @@
 # The propagation deadline of the changes in a response comes when discovery writes the response, and not when
 # the proxy has read all of it. The rest of the grace period is left for calls that are being sent.
 MAX_RESPONSE_FRACTION_OF_DRAIN_GRACE = 0.5
-# The first retry comes after a random time in this range. Both bounds double with each further failure.
-INITIAL_BACKOFF_RANGE_S = (0.02, 0.1)
+# The longest backoff after a failed poll.
 MAX_BACKOFF_S = 1.0
-MAX_BACKOFF_DOUBLINGS = 6
 # The longest backoff where lists are pushed, as a fraction of the drain grace period. The rest of the grace
 # period is left for the poll itself.
 MAX_BACKOFF_FRACTION_OF_DRAIN_GRACE = 0.5
@@ -66,22 +64,6 @@
 MIN_LOGGED_RESPONSE_TIME_MS = 1000.0
 
 
-@dataclass(slots=True, eq=False)
-class Poll:
-    """One poll of discovery."""
-
-    number: int  # identifies the poll in the log
-    sent_ms: float
-    is_full: bool = False  # requests the full list
-    # A long poll continues a watch, as far as the proxy knows, and waits for changes. Other polls may queue
-    # at discovery before it responds.
-    is_long: bool = False
-    wait_ms: int = 0
-    response_started_ms: float | None = None
-    response_timer: asyncio.TimerHandle | None = None  # fires if the response is incomplete for too long
-    work_ms: float = 0.0  # the time that its response has taken to parse and to apply
-
-
 class DiscoveryClient:
     """Polls discovery, with one poll at a time on one connection, and reconnects after each failure.
 
@@ -104,9 +86,9 @@
         # Where lists are pushed and the agent was down, the propagation deadline of all changes that the
         # agent has comes as soon as the agent returns, whether or not the proxy has polled again. With a
         # longer backoff, the proxy would send requests to draining servers after the grace period.
-        self.max_backoff_s = MAX_BACKOFF_S if balancer_requests_watches else min(
+        self.backoff = Backoff(MAX_BACKOFF_S if balancer_requests_watches else min(
             MAX_BACKOFF_S,
-            max(INITIAL_BACKOFF_RANGE_S[0], MAX_BACKOFF_FRACTION_OF_DRAIN_GRACE * drain_grace_ms / 1000.0))
+            max(INITIAL_RANGE_S[0], MAX_BACKOFF_FRACTION_OF_DRAIN_GRACE * drain_grace_ms / 1000.0)))
         self.max_response_duration_s = MAX_RESPONSE_FRACTION_OF_DRAIN_GRACE * drain_grace_ms / 1000.0
         self.watch_requested = False
         self.full_list_requested = False
@@ -118,8 +100,6 @@
         # Whether discovery may have changes that the current list lacks: a poll may have reached discovery
         # but brought no list, or the list is still that of the last run.
         self.may_have_missed_changes = True
-        self.consecutive_failures = 0
-        self.random = random.Random()
         self.pacer = PollPacer()
         self.connection: DiscoveryConnection | None = None
         self.poll: Poll | None = None  # the poll in flight
@@ -163,7 +143,8 @@
             return
         self.expiry.expire_sooner()
         self.address, self.address_changed = address, True
-        self.consecutive_failures, self.may_have_missed_changes = 0, True
+        self.backoff.reset()
+        self.may_have_missed_changes = True
         self.last_response_started_ms = float("-inf")
         connect_task, self.connect_task = self.connect_task, None
         if connect_task is not None:
@@ -209,15 +190,10 @@
         """Describe the current list and the poll in flight for the log. An overdue list has expired."""
         age_s = (self.clock.now() - self.freshness.last_known_up_to_date_ms) / 1000.0
         age = f"{age_s:.2f} s" if age_s < float("inf") else "unknown"
-        poll = f" {self._describe_poll(self.poll)}" if self.poll is not None else ""
+        poll = f" {self.poll.describe(self.clock.now())}" if self.poll is not None else ""
         return (f"generation={self.directory.generation} endpoints={len(self.directory.entries)} "
                 f"age={age} overdue={'yes' if self.expiry.expired else 'no'}{poll}")
 
-    def _describe_poll(self, poll: Poll) -> str:
-        """Describe a poll: its number, the time since it was sent, and how long it may wait for changes."""
-        waits = f" of which {poll.wait_ms} ms may wait" if poll.is_long else ""
-        return f"poll {poll.number} for {self.clock.now() - poll.sent_ms:.0f} ms{waits}"
-
     # Sending polls.
 
     def _start_next_poll(self) -> None:
@@ -240,13 +216,8 @@
         if not poll.is_full and now <= self.last_response_started_ms + MAX_POLL_GAP_MS:
             poll.is_long, poll.wait_ms = True, self.freshness.wait_ms(now)
         self._set_poll_timer(self._poll_timeout_ms(poll) / 1000.0, self._poll_timed_out)
-        host = f"{self.address[0]}:{self.address[1]}"
-        transport.write(f"GET {self._poll_target(poll)} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
-
-    def _poll_target(self, poll: Poll) -> str:
-        if poll.is_full:
-            return INSTANCES_PATH
-        return f"{INSTANCES_PATH}?after={self.directory.generation}&wait_ms={poll.wait_ms}"
+        target, host = poll.target(self.directory.generation), f"{self.address[0]}:{self.address[1]}"
+        transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
 
     def _poll_timeout_ms(self, poll: Poll) -> float:
         if poll.is_long:
@@ -329,7 +300,7 @@
         try:
             event = self._apply(response, reader, poll)
         except OlderGenerationError as error:
-            log(f"discovery: {self._describe_poll(poll)}: {error}")
+            log(f"discovery: {poll.describe(self.clock.now())}: {error}")
             self._poll_for_full_list()
             return
         except ValueError as error:
@@ -341,7 +312,7 @@
     def _response_invalid(self, poll: Poll, error: Exception) -> None:
         """Handle a response that cannot be read, or that contains no valid list."""
         self.counts["polls failed"] += 1
-        log(f"discovery: {self._describe_poll(poll)}: {error}")
+        log(f"discovery: {poll.describe(self.clock.now())}: {error}")
         self._poll_failed()
 
     def _start_response_timer(self, poll: Poll) -> None:
@@ -355,7 +326,7 @@
         started_ms = poll.response_started_ms
         superseded = started_ms is not None and self.freshness.last_known_up_to_date_ms > started_ms
         if not self.expiry.expired and not superseded:
-            self._expire(f"only part of a response has arrived ({self._describe_poll(poll)})")
+            self._expire(f"only part of a response has arrived ({poll.describe(self.clock.now())})")
 
     def _apply(
         self, response: http1.Response, reader: ListResponseReader, poll: Poll,
@@ -401,7 +372,7 @@
         self.initialized = True
         self.last_response_started_ms = (
             self.clock.now() if poll.response_started_ms is None else poll.response_started_ms)
-        self.consecutive_failures = 0
+        self.backoff.reset()
         if not keep_alive:
             self._close_connection()
         self.may_have_missed_changes = False
@@ -427,14 +398,14 @@
         if not (is_first or self.expiry.expired or is_late or len(event.endpoints) >= MIN_LOGGED_ENTRIES):
             return
         log(f"discovery: {'first response' if is_first else 'response'}, {len(self.directory.entries)} "
-            f"endpoints listed: {self._describe_poll(poll)}, {event.summary()}")
+            f"endpoints listed: {poll.describe(self.clock.now())}, {event.summary()}")
 
     def connection_lost(self) -> None:
         """Forget the connection, and handle the poll in flight on it as failed."""
         self.connection = None
         if self.poll is not None:
             self.counts["polls lost"] += 1
-            log(f"discovery: {self._describe_poll(self.poll)}: connection lost")
+            log(f"discovery: {self.poll.describe(self.clock.now())}: connection lost")
             self._poll_failed()
 
     def _poll_timed_out(self) -> None:
@@ -445,7 +416,7 @@
         """
         self.counts["polls timed out"] += 1
         if self.poll is not None:
-            log(f"discovery: {self._describe_poll(self.poll)}: timed out without a complete response")
+            log(f"discovery: {self.poll.describe(self.clock.now())}: timed out without a complete response")
         self.initialized = self.may_have_missed_changes = True
         self.poll, self.last_response_started_ms = None, float("-inf")
         self._close_connection()
@@ -465,14 +436,7 @@
             self.watch_requested = self.full_list_requested = False
             self.notify(api.EndpointsListed(api.ListKind.FAILED))
             return
-        self._set_poll_timer(self._next_backoff_s(), self._start_next_poll)
-
-    def _next_backoff_s(self) -> float:
-        """Count a failure and return the random backoff that follows it."""
-        factor = 2 ** min(self.consecutive_failures, MAX_BACKOFF_DOUBLINGS)
-        shortest, longest = (min(self.max_backoff_s, bound * factor) for bound in INITIAL_BACKOFF_RANGE_S)
-        self.consecutive_failures += 1
-        return self.random.uniform(shortest, longest)
+        self._set_poll_timer(self.backoff.next_delay_s(), self._start_next_poll)
 
     def _close_connection(self) -> None:
         connection, self.connection = self.connection, None
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -251,7 +251,7 @@
         harness.proxy.discovery_client.watch()
         if discovery_state == "down":
             await wait_until(
-                lambda: mode == "ask" or harness.proxy.discovery_client.consecutive_failures >= 2)
+                lambda: mode == "ask" or harness.proxy.discovery_client.backoff.failure_count >= 2)
         else:
             await with_timeout(discovery.request_received.wait())
         client = await Client.connect(harness.port)
@@ -351,7 +351,7 @@
         harness = ProxyHarness(make_config(port, entries, contract={"stopSendingWithinMs": 120.0}), discovery)
         await harness.start()
         # The backoff has reached its maximum.
-        await wait_until(lambda: harness.proxy.discovery_client.consecutive_failures >= 8)
+        await wait_until(lambda: harness.proxy.discovery_client.backoff.failure_count >= 8)
         await wait_until(lambda: harness.proxy.discovery_client.connect_task is None)
         timer, now = harness.proxy.discovery_client.poll_timer, asyncio.get_running_loop().time()
         assert timer is not None
--- a/tests/test_discovery_address_change.py
+++ b/tests/test_discovery_address_change.py
@@ -98,7 +98,7 @@
         await new_discovery.stop()
         async with synced_proxy([discovery_entry("b", 1)]) as harness:
             harness.proxy.discovery_client.change_address(("127.0.0.1", port))
-            await wait_until(lambda: harness.proxy.discovery_client.consecutive_failures >= 2)
+            await wait_until(lambda: harness.proxy.discovery_client.backoff.failure_count >= 2)
             assert harness.proxy.discovery_client.initialized
             assert harness.proxy.pool.has_endpoint("b")
             await new_discovery.start(port)
