Measure the process when it may have grown, and seldom while it is idle

Change: four a second, and one after each 256 KiB that clients or servers have sent and each 32 new connections, beside those for pieces of a list. A log that is a regular file is written without asking whether it can be, as a write to it does not wait for a reader.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -96,7 +96,8 @@
                 configuration.max_memory_bytes, max_sockets, self.frontend.max_connections)),
             self.frontend, self.pool)
         self.monitor.on_tick = self.overload.tick
-        self.discovery_client.check_memory = self.overload.check
+        self.discovery_client.check_memory = self.frontend.check_memory = self.overload.check
+        self.frontend.client_memory.on_growth = self.pool.response_memory.on_growth = self.overload.check
         self.stats = StatsReporter(
             self.driver, self.discovery_client, self.pool, self.frontend, self.monitor,
             max_memory_bytes=configuration.max_memory_bytes, max_descriptors=max_sockets)
--- a/honeywharf/net/frontend.py
+++ b/honeywharf/net/frontend.py
@@ -34,6 +34,8 @@
 #: A connection without a complete request is evicted before the idle ones only if it has waited this long.
 MIN_EVICTION_AGE_MS = 250.0
 SWEEP_INTERVAL_S = 0.2
+#: The process is measured after this many new connections.
+CONNECTIONS_PER_CHECK = 32
 
 
 class Frontend:
@@ -58,6 +60,9 @@
         self.draining = False
         # While a resource is scarce, connections without a request are closed until there are no more.
         self.preferred_connections = max_connections
+        # Measures the process between two regular measurements, as it may have grown.
+        self.check_memory: Callable[[], object] = lambda: None
+        self._opened_since_check = 0
         self.overloaded = False  # whether new requests get a 503, because the event loop is late
         self.refusing_requests = False  # whether new requests get a 503, because the process is about to end
         self.on_all_closed: Callable[[], None] | None = None
@@ -79,6 +84,10 @@
         Beyond the limit, another connection is evicted; if none can be, the new one is rejected.
         """
         self.connections.add(connection)
+        self._opened_since_check += 1
+        if self._opened_since_check >= CONNECTIONS_PER_CHECK:
+            self._opened_since_check = 0
+            self.check_memory()
         if len(self.connections) > self.max_connections and not self._evict():
             connection.reject_and_close(http1.SERVICE_UNAVAILABLE, CloseReason.CONNECTION_LIMIT)
             return
--- a/honeywharf/net/log.py
+++ b/honeywharf/net/log.py
@@ -5,6 +5,7 @@
 import io
 import os
 import select
+import stat
 import sys
 from collections import deque
 
@@ -22,6 +23,7 @@
 
     def __init__(self, descriptor: int) -> None:
         self._descriptor = descriptor
+        self._is_file = _is_regular_file(descriptor)
         self._poll = select.poll()
         self._poll.register(descriptor, select.POLLOUT)
         self._incomplete_line = ""
@@ -68,12 +70,21 @@
 
     def _is_writable(self) -> bool:
         """Return whether a write does not wait. A pipe is writable if it has room for PIPE_BUF bytes."""
+        if self._is_file:
+            return True
         try:
             return bool(self._poll.poll(0))
         except OSError:
             return False
 
 
+def _is_regular_file(descriptor: int) -> bool:
+    try:
+        return stat.S_ISREG(os.fstat(descriptor).st_mode)
+    except OSError:
+        return False
+
+
 def install_log_stream() -> None:
     """Let everything that is written to standard error from now on go through a `LogStream`."""
     sys.stderr = LogStream(2)
--- a/honeywharf/net/memory_budget.py
+++ b/honeywharf/net/memory_budget.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from honeywharf.net.config import MEGABYTE
 
 #: What the process holds besides messages: the interpreter, the libraries, the connections and the list of
@@ -22,6 +24,8 @@
 ENDPOINT_BYTES = 2000
 #: However little memory there is, lists of this many endpoints are accepted.
 MIN_MAX_ENDPOINTS = 4096
+#: The process is measured after this much has been received, between the regular measurements.
+GROWTH_PER_CHECK_BYTES = 256 * 1024
 
 
 class MemoryBudget:
@@ -35,10 +39,18 @@
         self.limit_bytes = limit_bytes
         self.fraction = 1.0
         self.used_bytes = 0
+        #: Called after each `GROWTH_PER_CHECK_BYTES` that have been counted, so that the process is measured.
+        self.on_growth: Callable[[], object] = lambda: None
+        self._growth_bytes = 0
 
     def change(self, change_bytes: int) -> None:
         """Count this many more bytes, or fewer if the number is negative."""
         self.used_bytes += change_bytes
+        if change_bytes > 0:
+            self._growth_bytes += change_bytes
+            if self._growth_bytes >= GROWTH_PER_CHECK_BYTES:
+                self._growth_bytes = 0
+                self.on_growth()
 
     @property
     def exceeded(self) -> bool:
--- a/honeywharf/net/overload_controller.py
+++ b/honeywharf/net/overload_controller.py
@@ -26,8 +26,8 @@
 class OverloadController:
     """Measures the process, and limits clients, responses and lists by what the measurement allows.
 
-    A measurement comes with each tick of the monitor. Whoever is about to hold much more asks for one between
-    two ticks, by `check`.
+    A measurement comes with each tick of the monitor. Whoever has come to hold much more asks for one between
+    two ticks, by `check`: after a number of connections or bytes, or a piece of a list.
     """
 
     def __init__(
--- a/honeywharf/net/resource_monitor.py
+++ b/honeywharf/net/resource_monitor.py
@@ -9,9 +9,9 @@
 from honeywharf.policy.overload import ResourceUsage
 
 #: How often the process is measured, which takes little of an idle process's time.
-TICK_S = 0.1
-#: The descriptors are counted at every fifth tick: that may take a fraction of a millisecond.
-TICKS_PER_DESCRIPTOR_COUNT = 5
+TICK_S = 0.25
+#: The descriptors are counted at every second tick: that may take a fraction of a millisecond.
+TICKS_PER_DESCRIPTOR_COUNT = 2
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 STATM_PATH = "/proc/self/statm"
 DESCRIPTORS_PATH = "/proc/self/fd"
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from honeywharf.net import frontend, memory_budget
+from honeywharf.net import frontend, memory_budget, overload_controller
 from honeywharf.net.memory_budget import MemoryBudget
 from honeywharf.policy.overload import (
     LOOP_DELAY_SAMPLES,
@@ -149,3 +149,31 @@
             assert monitor.usage().resident_bytes > 1_000_000
             assert harness.proxy.overload.check() is MemoryPressure.NONE
     run_test(main())
+
+
+def test_the_process_is_measured_again_as_clients_come_and_bytes_are_received(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a crowd that takes all of the memory between two regular measurements."""
+    monkeypatch.setattr(overload_controller, "MIN_CHECK_INTERVAL_MS", 0.0)
+
+    async def main() -> None:
+        async with synced_proxy([]) as harness:
+            measured: list[ResourceUsage] = []
+            measure = harness.proxy.monitor.usage
+
+            def record() -> ResourceUsage:
+                measured.append(measure())
+                return measured[-1]
+
+            monkeypatch.setattr(harness.proxy.monitor, "usage", record)
+            monkeypatch.setattr(harness.proxy.monitor, "on_tick", lambda: None)
+            harness.proxy.frontend.client_memory.change(memory_budget.GROWTH_PER_CHECK_BYTES - 1)
+            assert len(measured) == 0
+            harness.proxy.frontend.client_memory.change(1)
+            harness.proxy.pool.response_memory.change(memory_budget.GROWTH_PER_CHECK_BYTES)
+            assert len(measured) == 2
+            for _ in range(frontend.CONNECTIONS_PER_CHECK):
+                await Client.connect(harness.port)
+            await wait_until(lambda: len(measured) == 3)
+    run_test(main())
