Soak lists in which all servers restart, and name the error of a list that is too long

A list that takes more memory than there is has an error of its own, not MemoryError, and the status 200 is defined once.

--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -30,7 +30,7 @@
 from honeywharf.net.endpoint_directory import EndpointDirectory, OlderGenerationError, make_endpoint_list
 from honeywharf.net.input_scheduler import MAX_DISCOVERY_TURN_MS, InputScheduler
 from honeywharf.net.list_expiry import ListExpiry
-from honeywharf.net.list_response_reader import OK, ListResponseReader
+from honeywharf.net.list_response_reader import ListResponseReader
 from honeywharf.net.log import log
 from honeywharf.net.memory_budget import MIN_MAX_ENDPOINTS
 from honeywharf.net.poll import Poll
@@ -64,6 +64,10 @@
 MIN_LOGGED_RESPONSE_TIME_MS = 1000.0
 
 
+class ListTooLongError(ValueError):
+    """A list has more entries than the process has memory for."""
+
+
 class DiscoveryClient:
     """Polls discovery, with one poll at a time on one connection, and reconnects after each failure.
 
@@ -274,7 +278,7 @@
         parser = connection.reader.list_parser
         if self.check_memory() is MemoryPressure.EXHAUSTED and parser is not None and (
                 len(parser.entries) > MIN_MAX_ENDPOINTS):
-            self._response_invalid(poll, MemoryError("the list takes more memory than there is"))
+            self._response_invalid(poll, ListTooLongError("the list takes more memory than there is"))
         elif response is None:
             self._start_response_timer(poll)
         else:
@@ -336,7 +340,7 @@
         A response with another status proves nothing about the list, also if the poll continued a watch: the
         poll may have waited in discovery's queue until it failed, while discovery had changes.
         """
-        if response.status != OK:
+        if response.status != http1.OK:
             raise ValueError(f"unexpected status {response.status}")
         generation = self.directory.generation
         parser = reader.list_parser
--- a/honeywharf/net/http1.py
+++ b/honeywharf/net/http1.py
@@ -4,6 +4,7 @@
 
 import re
 
+OK = 200
 BAD_GATEWAY = 502
 SERVICE_UNAVAILABLE = 503
 MAX_NAMED_NUMBERS = 32  # per header; further ones are ignored
--- a/honeywharf/net/list_response_reader.py
+++ b/honeywharf/net/list_response_reader.py
@@ -5,12 +5,11 @@
 from collections.abc import Callable
 
 from honeywharf.net.endpoint_directory import Entry
-from honeywharf.net.http1 import MalformedMessageError, Response
+from honeywharf.net.http1 import OK, MalformedMessageError, Response
 from honeywharf.net.list_parser import ListParser
 from honeywharf.net.response_reader import ResponseReader
 
 MAX_LIST_BYTES = 16 * 1024 * 1024
-OK = 200
 
 
 class ListResponseReader(ResponseReader):
--- a/soak/discovery.py
+++ b/soak/discovery.py
@@ -15,6 +15,7 @@
 DISCOVERY_HOST = "127.0.0.1"
 LONG_LIST_COUNT = 4096
 CHANGED_COUNT = 20
+FIRST_START_MS = 1_700_000_000_000
 # Where a server that the list names does not exist, connections are refused.
 ABSENT_PORT = 9
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -109,6 +110,8 @@
         if self.trouble == "byte_chunked_list":
             writer.write(CHUNKED_HEAD + b"%x\r\n%b\r\n" % (len(head), head))
             writer.write(self.byte_chunks + b"1\r\n}\r\n0\r\n\r\n")
+        elif self.trouble == "restarting_list":
+            writer.write(response(200, head + self._restarted_list() + b"}"))
         elif self.trouble == "many_changes" and self.long_list_generation:
             writer.write(response(200, self._changes()))
         elif self.trouble in ("long_list", "many_changes"):
@@ -120,6 +123,11 @@
             no_change = b'{"generation": %d, "reset": false, "instances": []}' % self.generation
             writer.write(response(200, no_change))
 
+    def _restarted_list(self) -> bytes:
+        """Return the long list after a restart of all of its servers."""
+        started = b'"startedAtMs": %d' % (FIRST_START_MS + self.generation)
+        return self.long_list_json.replace(b'"startedAtMs": 0', started)
+
     def _changes(self) -> bytes:
         """Return a change of a few servers of the long list."""
         first = self.generation * CHANGED_COUNT % len(self.other_servers)
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -47,7 +47,8 @@
         "byte_chunks", "long_responses", "endless", "many_fields", "trickle", "cut_off", "hang",
         "unsolicited")),
     *(Kind(name, Party.DISCOVERY) for name in (
-        "long_list", "many_changes", "byte_chunked_list", "endless_list", "garbage", "silent", "resets")),
+        "long_list", "many_changes", "byte_chunked_list", "endless_list", "garbage", "silent", "resets",
+        "restarting_list")),
     *(Kind(name, Party.LOG, whole_run=True) for name in ("full_log", "stalled_log", "closed_log")),
     *(Kind(name, Party.SIGNALS) for name in (
         "kill_series", "reload_series", "terminate", "pauses", "throttled")),
