Say on which log line the counters of closes stand, and name the Host header of a probe

From a reading of the whole change: two comments named the line 'stats', which these counters are not on, and a conditional expression spread over two lines is a method. Nothing that is done changes.

--- a/honeywharf/net/backend.py
+++ b/honeywharf/net/backend.py
@@ -58,7 +58,7 @@
     response_memory: MemoryBudget  # of all responses that are incomplete
     input_scheduler: InputScheduler
     counts: Counter[str]  # event counters for the `stats` line of the log
-    close_counts: Counter[str]  # the same, of closes by their reason
+    close_counts: Counter[str]  # for the `connections` line: closes by their reason
 
     def release(self, connection: Connection) -> None:
         """Return the connection to the pool for the next call."""
@@ -181,13 +181,16 @@
         self.call, call.connection = call, self
         call.written_ms = now = self.pool.clock.now()
         time_left = b"" if call.is_probe else http1.time_left_header(call.deadline_at_ms - now)
-        host = b"Host: %b:%d\r\n" % (
-            self.backend.address[0].encode(), self.backend.address[1]) if call.is_probe else b""
+        host = self._host_header() if call.is_probe else b""
         self.transport.write(b"%b%b%b\r\n%b" % (call.head, host, time_left, call.body))
         if self.transport.is_closing():
             # The write failed at once, so nothing was sent.
             self.has_unwritten_data = True
 
+    def _host_header(self) -> bytes:
+        name, port = self.backend.address
+        return b"Host: %b:%d\r\n" % (name.encode(), port)
+
     def buffer_updated(self, nbytes: int) -> None:
         """Parse a part of a response, or let it wait for its turn; unsolicited bytes close the connection."""
         if self.closed:
--- a/honeywharf/net/connection_pool.py
+++ b/honeywharf/net/connection_pool.py
@@ -51,7 +51,7 @@
         self.established: set[Connection] = set()
         self.slow_connect_count = 0  # connects that exceeded the slow-connect threshold
         self.counts: Counter[str] = Counter()  # event counters for the `stats` line of the log
-        self.close_counts: Counter[str] = Counter()  # the same, of closes by their reason
+        self.close_counts: Counter[str] = Counter()  # for the `connections` line: closes by their reason
         self.connect_times = ConnectTimes()
         self.connect_tasks: set[asyncio.Task[None]] = set()
         loop.call_later(IDLE_SWEEP_INTERVAL_S, self._close_expired_connections)
--- a/honeywharf/net/frontend.py
+++ b/honeywharf/net/frontend.py
@@ -47,7 +47,7 @@
     ) -> None:
         self.loop, self.clock, self.driver, self.max_connections = loop, clock, driver, max_connections
         self.can_serve, self.event_log = can_serve, event_log
-        self.counts: Counter[str] = Counter()  # event counters for the `stats` line of the log
+        self.counts: Counter[str] = Counter()  # event counters for the `connections` line of the log
         self.client_memory = MemoryBudget(max_memory_bytes)
         self.input_scheduler = InputScheduler(loop, clock)
         self.connections: set[ClientConnection] = set()
